--- /dev/null
+++ b/crates/benchlink/src/settings.rs
@@ -0,0 +1,155 @@
+//! The settings text of an instance, read into the core's `ServiceProfile`.
+use harestage::door::{Content, ServiceProfile};
+use harestage::state::{Circle, Repeat, Siblings};
+use harestage::time::Span;
+use serde_json::Value;
+
+type Read<T> = Result<T, String>;
+
+/// Where in the settings a reader stands, so that a complaint can name the key.
+struct At<'a> {
+    value: &'a Value,
+    path: String,
+}
+
+impl<'a> At<'a> {
+    fn opt(&self, key: &str) -> Option<At<'a>> {
+        let value = self.value.get(key).filter(|v| !v.is_null())?;
+        let path = if self.path.is_empty() { key.to_string() } else { format!("{}.{key}", self.path) };
+        Some(At { value, path })
+    }
+    fn need(&self, key: &str) -> Read<At<'a>> {
+        self.opt(key)
+            .ok_or_else(|| format!("needed key {}.{key} is missing", self.path).replace("key .", "key "))
+    }
+    fn wrong<T>(&self, wanted: &str) -> Read<T> {
+        Err(format!("key {} is not {wanted}", self.path))
+    }
+    fn number(&self) -> Read<f64> {
+        self.value.as_f64().map_or_else(|| self.wrong("a number"), Ok)
+    }
+    fn span(&self) -> Read<Span> {
+        Ok(Span::micros(self.number()?.max(0.0) as u64))
+    }
+    fn flag(&self) -> Read<bool> {
+        self.value.as_bool().map_or_else(|| self.wrong("true or false"), Ok)
+    }
+    fn word(&self) -> Read<&'a str> {
+        self.value.as_str().map_or_else(|| self.wrong("a text"), Ok)
+    }
+    fn list(&self) -> Read<Vec<At<'a>>> {
+        let Some(values) = self.value.as_array() else { return self.wrong("a list") };
+        let item = |(n, value)| At { value, path: format!("{}[{n}]", self.path) };
+        Ok(values.iter().enumerate().map(item).collect())
+    }
+    fn numbers(&self) -> Read<Vec<f64>> {
+        self.list()?.iter().map(At::number).collect()
+    }
+    fn flag_or(&self, key: &str, absent: bool) -> Read<bool> {
+        self.opt(key).map_or(Ok(absent), |at| at.flag())
+    }
+    fn number_or(&self, key: &str, absent: f64) -> Read<f64> {
+        self.opt(key).map_or(Ok(absent), |at| at.number())
+    }
+    fn span_or(&self, key: &str) -> Read<Span> {
+        self.opt(key).map_or(Ok(Span::ZERO), |at| at.span())
+    }
+    fn numbers_or(&self, key: &str) -> Read<Vec<f64>> {
+        self.opt(key).map_or(Ok(Vec::new()), |at| at.numbers())
+    }
+    /// A machine kind by its place; absent or negative means that there is none.
+    fn kind(&self, key: &str) -> Read<Option<u8>> {
+        Ok(self.opt(key).map(|at| at.number()).transpose()?.filter(|n| *n >= 0.0).map(|n| n as u8))
+    }
+}
+
+/// The machine kinds that are no caches, by their places.
+#[derive(Clone, Copy)]
+pub struct Kinds {
+    pub parent: Option<u8>,
+    pub origin: Option<u8>,
+}
+
+pub fn read_settings(text: &[u8]) -> Read<(ServiceProfile, Kinds)> {
+    let json: Value = serde_json::from_slice(text).map_err(|e| format!("settings are not JSON: {e}"))?;
+    let top = At { value: &json, path: String::new() };
+    if !json.is_object() {
+        return Err("settings are not a JSON object".into());
+    }
+    let allowed = top.need("Allowed")?;
+    let safety = top.need("Safety")?;
+    let family = top.need("FamilyInfo")?;
+    let contents = top.need("Classes")?.list()?;
+    let contents = contents.iter().enumerate().map(|(n, c)| read_content(n, c, &family));
+    let weights = top.opt("Weights").map_or(Ok("none"), |w| w.word())?;
+    let siblings = match family.opt("Sideways").map_or(Ok("none"), |s| s.word())? {
+        "location" => Siblings::Zone,
+        "any" => Siblings::Any,
+        _ => Siblings::None,
+    };
+    let retry_after = allowed.flag_or("RetryAfter", false)?;
+    let kinds = Kinds { parent: family.kind("MidKind")?, origin: family.kind("StoreKind")? };
+    let profile = ServiceProfile {
+        zone: top.need("Zone")?.number()? as u16,
+        zone_routers: family.numbers_or("CountByZone")?.iter().map(|n| *n as u16).collect(),
+        routers: top.need("Balancers")?.number()? as u16,
+        hub_of: family.numbers_or("AttachedTo")?.iter().map(|n| *n as u16).collect(),
+        contents: contents.collect::<Read<_>>()?,
+        scales_compare: matches!(weights, "nominal" | "rough"),
+        roster_on_call: top.opt("MembershipMode").map_or(Ok("push"), |m| m.word())? == "ask",
+        may_cancel: allowed.flag_or("Cancel", false)?,
+        may_duplicate: allowed.flag_or("MayDuplicate", false)?,
+        may_bypass: family.flag_or("BypassAllowed", false)?,
+        may_join: family.flag_or("Joins", false)?,
+        may_probe: allowed.flag_or("MayProbe", false)?,
+        siblings,
+        most_pulls: allowed.number_or("MaxAttempts", 1.0)? as u32,
+        longest_retry_after: if retry_after { allowed.span_or("MaxRetryAfter")? } else { Span::ZERO },
+        tells_fills: family.opt("NoteLevel").map_or(Ok("none"), |n| n.word())? == "all",
+        flow_kb_per_s: family.number_or("FlowKbPerS", 0.0)?,
+        zone_link_kb_per_s: family.numbers_or("ZoneLinkKbPerS")?,
+        cold_from: safety.number_or("ColdFrom", 1.0)?,
+        cold: safety.span_or("Cold")?,
+        fall_multiple: safety.number_or("FallMultiple", 1.0)?,
+        fall: safety.span_or("Fall")?,
+        parent_cold_from: family.number_or("ParentColdFrom", 1.0)?,
+        parent_cold: family.span_or("ParentRamp")?,
+        parent_fall_multiple: family.number_or("ParentBreaksAt", 1.0)?,
+        origin_fall_multiple: family.number_or("OriginLimitFactor", 0.0)?,
+        purge_settles: family.span_or("PurgeSettles")?,
+    };
+    Ok((profile, kinds))
+}
+
+fn read_content(n: usize, class: &At, family: &At) -> Read<Content> {
+    let by_class = |key: &str| -> Read<Option<At>> {
+        Ok(family.opt(key).map(|at| at.list()).transpose()?.and_then(|l| l.into_iter().nth(n)))
+    };
+    let span_of = |key: &str| -> Read<Span> { by_class(key)?.map_or(Ok(Span::ZERO), |at| at.span()) };
+    let repeat = match class.need("Idempotency")?.word()? {
+        "repeatable" => Repeat::Retriable,
+        "once" => Repeat::NonRetriable,
+        "by_key" => Repeat::Deduped {
+            within: match class.opt("Group").map_or(Ok("all"), |g| g.word())? {
+                "zone" => Circle::Zone,
+                "cell" => Circle::Cell,
+                _ => Circle::All,
+            },
+            memory: class.span_or("MemorySpan")?,
+        },
+        _ => return class.need("Idempotency")?.wrong("repeatable, by_key or once"),
+    };
+    let fresh = span_of("GoodFor")?;
+    Ok(Content {
+        repeat,
+        target: class.need("Aim")?.span()?,
+        target_stretch: class.number_or("AimStretch", 0.0)?,
+        expiry: class.need("HardLimit")?.span()?,
+        benefit: class.number_or("Worth", 1.0)?,
+        late_share: class.number_or("LateValue", 0.0)?,
+        write: by_class("ClassWrite")?.map_or(Ok(false), |at| at.flag())?,
+        fresh: (fresh > Span::ZERO).then_some(fresh),
+        grace: span_of("GraceFor")?,
+        aged_share: by_class("WorthWhenOld")?.map_or(Ok(1.0), |at| at.number())?,
+    })
+}
--- /dev/null
+++ b/src/brain.rs
@@ -0,0 +1,698 @@
+//! Every decision of a router. A front calls `Brain::open` once and then `Brain::turn` with the events of a
+//! moment; what goes in and what comes back is in `door.rs`, the data are in `state.rs`. The design
+//! (docs/design.md) decides each usual download: `Ledger` keeps its last-request table and both τ,
+//! `Desk::ask_source` and `Desk::ask_cache` have its hash orders, gap tests and no-copy switch.
+//!
+//! Beside it stand six mechanisms, each where its number is:
+//! (1) failures in a row set a cache or parent aside, and a trial download later brings it back;
+//! (2) a cold budget, this router's share of what a fresh cache or parent may be sent;
+//! (3) pulls on a node set aside or gone are called back, and further pulls go on in hash order;
+//! (4) throttling by chance as caches fill up, cheaper downloads more often;
+//! (5) purge memory, which bounds the age of the copies that will do;
+//! (6) the origin and link guard, which bounds fills and falls back on copies that are held.
+use crate::door::{Content, Event, Order, Pull, ServiceProfile};
+use crate::ring::Ring;
+pub use crate::state::Brain;
+use crate::state::*;
+use crate::time::{Moment, Span};
+use std::hash::Hash;
+
+// The design's own figures, those that it leaves open.
+const EDGE_TAU_START: Span = Span::millis(10_000); // times the zone's routers
+const PARENT_TAU_START: Span = Span::millis(10_000); // times all routers
+const TAU_WEIGHT: f64 = 0.1;
+const TABLE_CAP: f64 = 1.2;
+const FIRST_RANK: u8 = 1;
+const LATER_RANK: u8 = 2;
+const FILL_BOUND: usize = 16;
+
+// (1) Three in a row are hardly chance at the rate of errors of a sound cache.
+const FAILURES_IN_A_ROW: f64 = 3.0;
+// An overdue download that may be a miss says little of the cache: what is behind it may be slow.
+const DOUBTFUL_FAILURE: f64 = 0.34;
+const ASIDE_FIRST: Span = Span::millis(1_000);
+const ASIDE_MOST: Span = Span::millis(8_000);
+// (2) The part of the allowance that is used, for what the estimates get wrong.
+const COLD_MARGIN: f64 = 0.7;
+// A believed copy may be gone all the same; its fill then asks a cold parent.
+const SURE_FILL: f64 = 0.3;
+// (3)
+const BEAT: Span = Span::millis(50);
+const OVERDUE_MULTIPLE: f64 = 4.0;
+const OVERDUE_LEAST: Span = Span::millis(150);
+// (4)
+const ROOM_START: f64 = 24.0;
+const ROOM_LEAST: f64 = 3.0;
+const SLOW_RATIO: f64 = 2.5;
+const CHEAP_FROM: f64 = 0.75;
+const DEAR_FROM: f64 = 0.95;
+const SPREAD: f64 = 1.5;
+const SPREAD_LEAST: f64 = 4.0;
+const BACK_IN: Span = Span::millis(400);
+// (5) Clocks are read once a round: a copy made at the very moment of a purge is not trusted.
+const PURGE_MARGIN: Span = Span::millis(5);
+// (6)
+const ORIGIN_BOUND: usize = 12;
+const FILL_FAILURES: u32 = 2;
+const TROUBLE_BEHIND: f64 = 3.0;
+
+impl Brain {
+    pub fn open(profile: ServiceProfile, seed: u64, now: Moment) -> Brain {
+        let mut post = Post { now, seed, ..Post::default() };
+        post.order(Order::Ring { after: BEAT, bell: 0 });
+        // Where the roster must be asked for, the rules hold a router informed whether or not it asks.
+        if profile.roster_on_call {
+            post.order(Order::WatchRoster);
+        }
+        Brain { post, desk: Desk::open(profile), nodes: Vec::new() }
+    }
+
+    pub fn turn(&mut self, now: Moment, events: Vec<Event>, orders: &mut Vec<Order>) {
+        self.post.now = now;
+        for event in events {
+            self.post.deliver(event);
+            while let Some((to, note)) = self.post.next() {
+                match to {
+                    To::Desk => self.desk.read(note, &mut self.post),
+                    To::Node(NodeIx(at)) => {
+                        if self.nodes.len() <= at as usize {
+                            self.nodes.resize_with(at as usize + 1, Node::default);
+                        }
+                        self.nodes[at as usize].read(note, &mut self.post);
+                    }
+                }
+            }
+        }
+        orders.append(&mut self.post.orders);
+    }
+}
+
+impl Node {
+    fn read(&mut self, note: Note, post: &mut Post) {
+        let now = post.now;
+        match note {
+            Note::Listed(listing, cold) => self.relist(listing, cold, post),
+            Note::Beat => self.beat(post),
+            Note::Ask(ask) => {
+                let taken = self.take(&ask, post);
+                post.send(To::Desk, Note::Answer { dl: ask.pull.dl, node: ask.pull.node, taken });
+            }
+            Note::AskFill { dl, charge, proven } => {
+                let granted = self.grants(charge, proven, now);
+                if granted {
+                    self.sent.add(now, charge);
+                    self.fills.push((dl, now, charge));
+                }
+                let node = self.listing.map_or(NodeIx(0), |l| l.node);
+                post.send(To::Desk, Note::FillAnswer { dl, node, granted });
+            }
+            Note::FillOver { dl, verdict, used } => {
+                let Some(at) = self.fills.iter().position(|f| f.0 == dl) else { return };
+                let (_, sent, charge) = self.fills.swap_remove(at);
+                if used {
+                    self.done.add(now, charge);
+                } else {
+                    self.sent.weigh(sent, 0.0, -charge);
+                }
+                self.judge(verdict, 1.0, post);
+            }
+            Note::Over { dl, number, verdict, ratio, work } => {
+                self.out.retain(|o| (o.dl, o.number) != (dl, number));
+                self.done.add(now, work);
+                if let Some(ratio) = ratio {
+                    self.ratio.add(now, ratio);
+                }
+                self.judge(verdict, 1.0, post);
+            }
+            _ => {}
+        }
+    }
+
+    fn relist(&mut self, listing: Listing, cold: Cold, post: &mut Post) {
+        let anew = self.listing.is_none_or(|l| listing.started > l.started);
+        if anew || listing.phase == Phase::Gone {
+            // What was seen of a process that is no more says nothing of the next one.
+            (self.streak, self.aside, self.holds, self.room) = (0.0, None, 0, ROOM_START);
+            self.call_back(post);
+        }
+        if anew {
+            self.last_good = post.now;
+            self.sent = Ring::new(cold.window * 0.1, 11);
+            self.done = Ring::new(Span::millis(2_000), 8);
+            self.ratio = Ring::new(Span::millis(250), 4);
+        }
+        (self.listing, self.cold) = (Some(listing), cold);
+    }
+
+    fn call_back(&self, post: &mut Post) {
+        for out in &self.out {
+            post.send(To::Desk, Note::Overdue { dl: out.dl, number: out.number });
+        }
+    }
+
+    /// (2) Whether a node is warm or its allowance covers the charge. Guards against pushing over what has
+    /// just started, caches by pulls and parents by fills; it slows the return of nodes that warm up early.
+    fn bears(&self, charge: f64, proven: f64, now: Moment) -> bool {
+        let Some(started) = self.listing.and_then(|l| l.started) else { return true };
+        let (cold, age) = (&self.cold, now.since(started));
+        if age >= cold.lasts {
+            return true;
+        }
+        let part = cold.from + (1.0 - cold.from) * (age / cold.lasts);
+        let carries = part * proven.max(cold.floor) * cold.window.seconds();
+        self.sent.sum(now) + charge <= COLD_MARGIN * cold.multiple * carries
+    }
+
+    fn is_ready(&self) -> bool {
+        self.listing.is_some_and(|l| l.phase == Phase::Ready)
+    }
+
+    fn take(&mut self, ask: &Ask, post: &mut Post) -> bool {
+        let now = post.now;
+        let trial = |until| now >= until && ask.trial && self.out.is_empty();
+        let out = self.out.len() as f64 + 1.0;
+        let fit = self.is_ready() && self.aside.is_none_or(trial) && out <= ask.bound;
+        if !fit || !self.bears(ask.weight, ask.proven, now) {
+            return false;
+        }
+        // (4) By chance, so that routers that know nothing of each other don't swing together.
+        let from = DEAR_FROM + (CHEAP_FROM - DEAR_FROM) * ask.cheap;
+        if post.chance() < (out / self.room - from) / (1.1 - from) {
+            return false;
+        }
+        let (dl, number, overdue, sure) = (ask.pull.dl, ask.number, ask.overdue, ask.sure);
+        self.out.push(Out { dl, number, sent: now, overdue, sure, told: false });
+        self.sent.add(now, ask.weight);
+        post.order(Order::Pull(ask.pull));
+        true
+    }
+
+    fn grants(&self, charge: f64, proven: f64, now: Moment) -> bool {
+        let origin = self.listing.is_some_and(|l| l.role == Role::Origin);
+        let bound = if origin { ORIGIN_BOUND } else { FILL_BOUND };
+        let trial = |until| now >= until && self.fills.is_empty();
+        let fit = self.is_ready() && self.aside.is_none_or(trial) && self.fills.len() < bound;
+        fit && (origin || self.bears(charge, proven, now))
+    }
+
+    /// (1) Guards against nodes that fail fast, fall silent or can't be reached, whatever the cause.
+    fn judge(&mut self, verdict: Verdict, failure: f64, post: &mut Post) {
+        let now = post.now;
+        match verdict {
+            Verdict::Good => {
+                if self.aside.is_some() || now.since(self.last_good) > ASIDE_MOST {
+                    self.holds = (self.holds - 1).max(0);
+                }
+                (self.streak, self.aside, self.last_good) = (0.0, None, now);
+            }
+            Verdict::Bad => self.streak += failure,
+            Verdict::Full => self.room = (self.room * 0.8).min(self.out.len() as f64).max(ROOM_LEAST),
+            Verdict::Unclear => {}
+        }
+        if verdict == Verdict::Bad && (self.streak >= FAILURES_IN_A_ROW || self.aside.is_some()) {
+            self.aside = Some(now + (ASIDE_FIRST * 2f64.powi(self.holds)).min(ASIDE_MOST));
+            self.holds += 1;
+            self.call_back(post);
+        }
+    }
+
+    fn beat(&mut self, post: &mut Post) {
+        let (now, aside, last_good) = (post.now, self.aside.is_some(), self.last_good);
+        let mut failures = Vec::new();
+        for out in self.out.iter_mut().filter(|o| !o.told && now.since(o.sent) > o.overdue) {
+            out.told = true;
+            if out.sent >= last_good || aside {
+                failures.push(if out.sure { 1.0 } else { DOUBTFUL_FAILURE });
+            }
+        }
+        failures.into_iter().for_each(|failure| self.judge(Verdict::Bad, failure, post));
+        // The limit follows what the cache shows: sending for longer than needed means too many at once.
+        match self.ratio.mean(now) {
+            Some(ratio) if ratio > SLOW_RATIO => self.room = (self.room * 0.97).max(ROOM_LEAST),
+            Some(_) if self.out.len() as f64 > self.room * 0.7 => self.room += 0.5,
+            _ => {}
+        }
+        let Some(listing) = self.listing else { return };
+        post.send(To::Desk, Note::Proven { node: listing.node, rate: self.done.peak_rate(now) });
+    }
+}
+
+impl Ledger {
+    fn enter(&mut self, key: (ObjectKey, u32), repeat: bool, now: Moment) -> Line {
+        let expiry = self.parent_tau * TABLE_CAP;
+        let line = match self.lines.get(&key).filter(|l| now.since(l.last) <= expiry) {
+            // A client's repeat is the same wish; as a gap it would make every failure look popular.
+            Some(line) if repeat => *line,
+            Some(line) => Line { last: now, gap: Some(now.since(line.last)), ..*line },
+            None => Line { last: now, ..Line::default() },
+        };
+        self.lines.insert(key, line);
+        self.by_age.push_back((now, key));
+        line
+    }
+
+    fn tidy(&mut self, now: Moment) {
+        let expiry = self.parent_tau * TABLE_CAP;
+        while let Some((at, key)) = self.by_age.front().copied().filter(|(at, _)| now.since(*at) > expiry) {
+            self.by_age.pop_front();
+            if self.lines.get(&key).is_some_and(|l| l.last <= at) {
+                self.lines.remove(&key);
+            }
+        }
+    }
+}
+
+fn sample(tau: &mut Span, seen: Span) {
+    *tau = *tau * (1.0 - TAU_WEIGHT) + seen * TAU_WEIGHT;
+}
+
+impl Purges {
+    fn hear(&mut self, object: Option<ObjectKey>, group: u32, at: Moment) {
+        let known = match object {
+            Some(object) => self.objects.entry(object).or_insert(at),
+            None => self.groups.entry(group).or_insert(at),
+        };
+        *known = at.max(*known);
+    }
+
+    fn tidy(&mut self, settled: Moment) {
+        self.objects.retain(|_, at| *at >= settled);
+        self.groups.retain(|_, at| *at >= settled);
+    }
+
+    fn last_of(&self, what: &Download) -> Option<Moment> {
+        self.objects.get(&what.object).max(self.groups.get(&what.group)).copied()
+    }
+}
+
+impl Desk {
+    fn open(profile: ServiceProfile) -> Desk {
+        // Cheap is what earns little for the sending that it takes; targets stand in for sizes not yet seen.
+        let earns = |c: &Content| c.benefit / c.target.seconds().max(0.001);
+        let dearest = profile.contents.iter().map(earns).fold(0.001, f64::max);
+        let trade = |c: &Content| {
+            let (sending, cheap) = (c.target.seconds() * 0.5, 1.0 - earns(c) / dearest);
+            Trade { content: c.clone(), sending, cheap }
+        };
+        let trades = profile.contents.iter().map(trade).collect();
+        let edge_tau = EDGE_TAU_START * Self::zone_routers(&profile);
+        let parent_tau = PARENT_TAU_START * f64::from(profile.routers.max(1));
+        let ledger = Ledger { edge_tau, parent_tau, ..Ledger::default() };
+        let (roster, proven, out, dls) = Default::default();
+        let trouble_behind = Ring::new(Span::millis(250), 8);
+        Desk { profile, trades, roster, proven, out, dls, ledger, purges: Purges::default(), trouble_behind }
+    }
+
+    fn zone_routers(profile: &ServiceProfile) -> f64 {
+        let told = profile.zone_routers.get(profile.zone as usize).copied();
+        f64::from(told.unwrap_or(profile.routers).max(1))
+    }
+
+    fn read(&mut self, note: Note, post: &mut Post) {
+        let now = post.now;
+        match note {
+            Note::RosterLost if self.profile.roster_on_call => post.order(Order::WatchRoster),
+            Note::Listed(listing, _) => self.list(listing, post),
+            Note::Arrived(dl, what) => {
+                let line = self.ledger.enter((what.object, what.part), what.repeat, now);
+                let at = dl.0 as usize;
+                if self.dls.len() <= at {
+                    self.dls.resize_with(at + 1, || None);
+                }
+                self.dls[at] = Some(Dl::new(what, line));
+                self.ask_source(dl, post);
+            }
+            Note::FillAnswer { dl, node, granted: true } => self.ask_cache(dl, Some(node), post),
+            Note::FillAnswer { dl, node, .. } => {
+                if let Some(Some(held)) = self.dls.get_mut(dl.0 as usize) {
+                    held.declined.push(node);
+                }
+                self.ask_source(dl, post);
+            }
+            Note::Answer { dl, node, taken } => self.answer(dl, node, taken, post),
+            Note::Ended(end) => self.ended(end, post),
+            Note::Left(dl) => self.close(dl, post),
+            Note::Overdue { dl, number } => self.overdue(dl, number, post),
+            Note::Proven { node, rate } => self.proven[node.0 as usize] = rate,
+            Note::Purged { object, group, at } => self.purges.hear(object, group, at),
+            Note::Beat => {
+                self.ledger.tidy(now);
+                self.purges.tidy(now.before(self.profile.purge_settles + PURGE_MARGIN));
+                post.order(Order::Ring { after: BEAT, bell: 0 });
+            }
+            _ => {}
+        }
+    }
+
+    fn list(&mut self, listing: Listing, post: &mut Post) {
+        let (at, p) = (listing.node.0 as usize, &self.profile);
+        let links = p.zone_link_kb_per_s.iter().filter(|l| **l > 0.0);
+        let link = links.clone().sum::<f64>() / links.count().max(1) as f64 / p.flow_kb_per_s.max(1.0);
+        let window = p.fall.max(Span::millis(100));
+        let cold = if listing.role == Role::Cache {
+            let (from, lasts, multiple, floor) = (p.cold_from, p.cold, p.fall_multiple, 1.0);
+            Cold { from, lasts, multiple, window, floor: floor / Self::zone_routers(p) }
+        } else {
+            // A parent stands for several zones, so that it carries one zone's link at the least.
+            let (from, lasts, multiple) = (p.parent_cold_from, p.parent_cold, p.parent_fall_multiple);
+            Cold { from, lasts, multiple, window, floor: link.max(1.0) / f64::from(p.routers.max(1)) }
+        };
+        if self.roster.len() <= at {
+            self.roster.resize(at + 1, None);
+            self.proven.resize(at + 1, 0.0);
+            self.out.resize(at + 1, 0);
+        }
+        self.roster[at] = Some(listing);
+        post.send(To::Node(listing.node), Note::Listed(listing, cold));
+    }
+
+    fn ready(&self, role: Role) -> impl Iterator<Item = &Listing> {
+        self.roster.iter().flatten().filter(move |l| l.role == role && l.phase == Phase::Ready)
+    }
+
+    fn own_caches(&self) -> impl Iterator<Item = &Listing> {
+        self.ready(Role::Cache).filter(|l| l.zone == self.profile.zone)
+    }
+
+    fn scale(&self, l: &Listing) -> f64 {
+        if self.profile.scales_compare { f64::from(l.scale.max(0.01)) } else { 1.0 }
+    }
+
+    /// First of a hash order, in which each node comes first as often as its scale says.
+    fn first<'a>(&self, nodes: impl Iterator<Item = &'a Listing>, of: impl Hash) -> Option<Listing> {
+        let draw = |l: &Listing| -self.scale(l) / unit(hash((&of, l.stamp))).ln();
+        nodes.max_by(|a, b| draw(a).total_cmp(&draw(b))).copied()
+    }
+
+    /// A way starts with its source: the object's home among all parents, then the origin. What runs at the
+    /// origin goes there without a parent, which would keep nothing of it.
+    fn ask_source(&mut self, dl: DlIx, post: &mut Post) {
+        let Some(Some(held)) = self.dls.get(dl.0 as usize) else { return };
+        let write = self.trades[held.what.content.0 as usize].content.write;
+        if held.fill_failures >= FILL_FAILURES && !write {
+            return self.ask_cache(dl, None, post);
+        }
+        let open = |l: &&Listing| !held.declined.contains(&l.node);
+        let parents = self.ready(Role::Parent).filter(|l| open(l) && !write);
+        let home = self.first(parents, held.what.object.0);
+        match home.or_else(|| self.ready(Role::Origin).find(open).copied()) {
+            Some(l) => {
+                let share = if self.believed(held, post.now).is_some() { SURE_FILL } else { 1.0 };
+                let (charge, proven) = (self.weight(&held.what) * share, self.like(&l));
+                post.send(To::Node(l.node), Note::AskFill { dl, charge, proven });
+            }
+            None => self.ask_cache(dl, None, post),
+        }
+    }
+
+    /// Seconds of sending that a download is taken to need.
+    fn weight(&self, what: &Download) -> f64 {
+        if what.kilobytes > 0.0 && self.profile.flow_kb_per_s > 0.0 {
+            return f64::from(what.kilobytes) / self.profile.flow_kb_per_s;
+        }
+        self.trades[what.content.0 as usize].sending
+    }
+
+    /// What the busiest like node was seen to carry of ours.
+    fn like(&self, l: &Listing) -> f64 {
+        let near = |o: &&Listing| o.zone == l.zone || l.role != Role::Cache;
+        let like = self.roster.iter().flatten().filter(|o| o.kind == l.kind && o.node != l.node);
+        like.filter(near).map(|o| self.proven[o.node.0 as usize]).fold(0.0, f64::max)
+    }
+
+    /// The cache that should still hold the copy of the last fill.
+    fn believed(&self, held: &Dl, now: Moment) -> Option<NodeIx> {
+        let (node, since) = held.line.edge?;
+        let fresh = self.trades[held.what.content.0 as usize].content.fresh;
+        let stands = fresh.is_none_or(|f| now.since(since) < f);
+        (stands && self.still(node, since, &held.what)).then_some(node)
+    }
+
+    /// A restart or a purge since then voids a copy; its miss says nothing of evictions.
+    fn still(&self, node: NodeIx, since: Moment, what: &Download) -> bool {
+        let listing = self.roster[node.0 as usize];
+        let same = listing.is_some_and(|l| l.started.is_none_or(|s| s <= since));
+        same && self.purges.last_of(what).is_none_or(|p| p < since)
+    }
+
+    /// The object's home among the own zone's ready caches. Where that one is set aside, cold or has too many
+    /// of our pulls for its part, each part goes on in an order of its own, so that a hot object spreads.
+    fn ask_cache(&mut self, dl: DlIx, source: Option<NodeIx>, post: &mut Post) {
+        let now = post.now;
+        let Some(Some(held)) = self.dls.get_mut(dl.0 as usize) else { return };
+        held.source = source;
+        let Some(Some(held)) = self.dls.get(dl.0 as usize) else { return };
+        let (what, gap) = (&held.what, held.line.gap);
+        let trade = &self.trades[what.content.0 as usize];
+        let caches = || self.own_caches().filter(|l| !held.failed.contains(&l.node));
+        let untried = |l: &&Listing| !held.declined.contains(&l.node);
+        let home =
+            self.first(self.own_caches(), (what.object.0, 0)).filter(|h| !held.failed.contains(&h.node));
+        let next = || self.first(caches().filter(untried), (what.object.0, u64::from(what.part) + 1));
+        let Some(best) = home.filter(|h| untried(&h)).or_else(next) else { return self.give_up(dl, post) };
+        if !self.may_pull(held, &best, now) {
+            return self.give_up(dl, post);
+        }
+        let out: usize = self.own_caches().map(|l| self.out[l.node.0 as usize]).sum();
+        let scales = self.own_caches().map(|l| self.scale(l)).sum::<f64>();
+        let fair = (out + 1) as f64 * self.scale(&best) / scales.max(0.01);
+        let parent = source.is_some_and(|s| self.is_parent(s));
+        let troubled = held.fill_failures > 0 || source.is_none();
+        let troubled = troubled || self.trouble_behind.count(now) >= TROUBLE_BEHIND;
+        let pull = Pull {
+            dl,
+            node: best.node,
+            source,
+            oldest: self.oldest(what, troubled, now),
+            rank: match gap {
+                _ if trade.content.write => 0,
+                None => FIRST_RANK,
+                Some(gap) if gap < self.ledger.edge_tau => LATER_RANK,
+                Some(_) => 0,
+            },
+            time_out: Span::ZERO,
+            join: self.profile.may_join,
+            only_held: false,
+            no_copy: parent && gap.is_some_and(|gap| gap >= self.ledger.parent_tau),
+            renew: trade.content.fresh.is_some() && source.is_some(),
+        };
+        let weight = self.weight(what);
+        let ask = Ask {
+            pull,
+            number: held.sent.len() as u8,
+            weight: trade.sending.max(weight),
+            overdue: Span::of_seconds(OVERDUE_MULTIPLE * weight) + OVERDUE_LEAST,
+            sure: self.believed(held, now) == Some(best.node),
+            cheap: trade.cheap,
+            bound: (SPREAD * fair).max(SPREAD_LEAST),
+            proven: self.like(&best),
+            trial: trade.content.repeat == Repeat::Retriable,
+        };
+        post.send(To::Node(best.node), Note::Ask(ask));
+    }
+
+    fn is_parent(&self, node: NodeIx) -> bool {
+        self.roster[node.0 as usize].is_some_and(|l| l.role == Role::Parent)
+    }
+
+    /// (5) The oldest copy that will do: none from before a purge that this router was told of. (6) While
+    /// what is behind the caches fails, an aged copy now is of more benefit than a fresh one too late.
+    fn oldest(&self, what: &Download, troubled: bool, now: Moment) -> Span {
+        let content = &self.trades[what.content.0 as usize].content;
+        let usual = content.fresh.map(|fresh| if troubled { fresh + content.grace } else { fresh });
+        let purged = self.purges.last_of(what);
+        let since = purged.map(|at| now.since(at + PURGE_MARGIN).max(Span::micros(1)));
+        usual.into_iter().chain(since).min().unwrap_or(Span::ZERO)
+    }
+
+    /// Rule 2: what may have run goes on only where, and as long as, a repeat does no harm.
+    fn may_pull(&self, held: &Dl, to: &Listing, now: Moment) -> bool {
+        let over = held.answered || now >= held.what.leaves_at;
+        let spent = held.sent.len() as u32 >= self.profile.most_pulls;
+        if over || spent || held.pulls_out() && !self.profile.may_duplicate {
+            return false;
+        }
+        let Some((since, node)) = held.may_have_run else { return true };
+        match self.trades[held.what.content.0 as usize].content.repeat {
+            Repeat::Retriable => true,
+            Repeat::NonRetriable => false,
+            Repeat::Deduped { within, memory } => {
+                let Some(was) = self.roster[node.0 as usize] else { return false };
+                let knows = match within {
+                    Circle::All => true,
+                    Circle::Zone => was.zone == to.zone,
+                    Circle::Cell => (was.zone, was.cell) == (to.zone, to.cell),
+                };
+                knows && now.since(since) < memory
+            }
+        }
+    }
+
+    fn answer(&mut self, dl: DlIx, node: NodeIx, taken: bool, post: &mut Post) {
+        let Some(Some(held)) = self.dls.get_mut(dl.0 as usize) else { return };
+        let (at, source) = (post.now, held.source);
+        if !taken {
+            held.declined.push(node);
+            return self.ask_cache(dl, source, post);
+        }
+        held.declined.clear();
+        held.sent.push(Sent { node, source, at, over: false, called_back: false });
+        held.may_have_run = held.may_have_run.or(Some((at, node)));
+        self.out[node.0 as usize] += 1;
+    }
+
+    /// Answers at once what this router won't go on with. A throttling reply promises that a repeat is
+    /// harmless, so that what may have run gets one only where repeats are.
+    fn give_up(&mut self, dl: DlIx, post: &mut Post) {
+        let longest = self.profile.longest_retry_after;
+        let Some(Some(held)) = self.dls.get(dl.0 as usize) else { return };
+        if let Some(source) = held.source {
+            post.send(To::Node(source), Note::FillOver { dl, verdict: Verdict::Unclear, used: false });
+        }
+        let repeat = self.trades[held.what.content.0 as usize].content.repeat;
+        let known = matches!(repeat, Repeat::Retriable | Repeat::Deduped { within: Circle::All, .. });
+        if !held.answered && (known || held.may_have_run.is_none()) {
+            let retry_after = (BACK_IN * (0.5 + post.chance())).min(longest);
+            post.order(Order::Throttle { dl, retry_after });
+        } else if !held.answered {
+            post.order(Order::Abandon { dl });
+        }
+        self.close(dl, post);
+    }
+
+    /// Ends what is owed for a download; pulls still out are called back, since nobody waits for them.
+    fn close(&mut self, dl: DlIx, post: &mut Post) {
+        let Some(Some(held)) = self.dls.get_mut(dl.0 as usize) else { return };
+        held.answered = true;
+        for (number, sent) in held.sent.iter_mut().enumerate().filter(|(_, s)| !s.over && !s.called_back) {
+            if self.profile.may_cancel {
+                sent.called_back = true;
+                post.order(Order::Cancel { dl, pull: number as u8 });
+            }
+        }
+        if !held.pulls_out() {
+            self.dls[dl.0 as usize] = None;
+            post.order(Order::Forget { dl });
+        }
+    }
+
+    /// (3) A pull on a node set aside or gone is called back, and goes on elsewhere once that is confirmed.
+    /// Guards against silence. A non-retriable download waits on: nothing could follow its pull.
+    fn overdue(&mut self, dl: DlIx, number: u8, post: &mut Post) {
+        let Some(Some(held)) = self.dls.get_mut(dl.0 as usize) else { return };
+        let repeat = self.trades[held.what.content.0 as usize].content.repeat;
+        let Some(sent) = held.sent.get_mut(number as usize) else { return };
+        let idle = sent.over || sent.called_back || held.answered;
+        if self.profile.may_cancel && !idle && repeat != Repeat::NonRetriable {
+            sent.called_back = true;
+            post.order(Order::Cancel { dl, pull: number });
+        }
+    }
+
+    fn ended(&mut self, end: PullEnd, post: &mut Post) {
+        let (now, dl) = (post.now, end.dl);
+        let Some(Some(held)) = self.dls.get_mut(dl.0 as usize) else { return };
+        let Some(sent) = held.sent.get_mut(end.pull as usize).filter(|s| !s.over) else { return };
+        sent.over = true;
+        let was = *sent;
+        self.out[was.node.0 as usize] -= 1;
+        if end.ending.proves_unrun() && held.may_have_run == Some((was.at, was.node)) {
+            held.may_have_run = held.sent.iter().find(|s| !s.over).map(|s| (s.at, s.node));
+        }
+        let verdict = self.tell_nodes(&end, &was, post);
+        if end.ending == Ending::Fulfilled {
+            self.learn(&end, &was, now);
+        }
+        let Some(Some(held)) = self.dls.get_mut(dl.0 as usize) else { return };
+        if held.answered || end.closed {
+            return self.close(dl, post);
+        }
+        if held.pulls_out() {
+            return;
+        }
+        if behind(&end) {
+            held.fill_failures += 1;
+        } else if verdict != Verdict::Good {
+            held.failed.push(was.node);
+        }
+        let write = self.trades[held.what.content.0 as usize].content.write;
+        held.source = None;
+        if end.ending == Ending::Missed && was.source.is_none() || behind(&end) && write {
+            return self.give_up(dl, post);
+        }
+        self.ask_source(dl, post);
+    }
+
+    /// Passes on what an end says of the cache and of its source. What failed behind a cache is not held
+    /// against it, nor the origin's failure against a parent.
+    fn tell_nodes(&mut self, end: &PullEnd, was: &Sent, post: &mut Post) -> Verdict {
+        let now = post.now;
+        let Some(Some(held)) = self.dls.get(end.dl.0 as usize) else { return Verdict::Unclear };
+        let fulfilled = end.ending == Ending::Fulfilled;
+        let sure = self.believed(held, now) == Some(was.node);
+        let verdict = match end.ending {
+            Ending::Fulfilled | Ending::Missed => Verdict::Good,
+            Ending::Cancelled | Ending::NotSent => Verdict::Unclear,
+            _ if behind(end) || end.remark == Remark::NoPlace => Verdict::Good,
+            Ending::Full => Verdict::Full,
+            Ending::TimedOut if !sure => Verdict::Unclear,
+            _ => Verdict::Bad,
+        };
+        let (weight, told) = (self.weight(&held.what), held.what.kilobytes > 0.0);
+        let hit = fulfilled && matches!(end.remark, Remark::Hit | Remark::Aged);
+        let trade = &mut self.trades[held.what.content.0 as usize];
+        if hit && (told || self.out[was.node.0 as usize] <= 2) {
+            let sending = if told { weight } else { end.took.seconds() };
+            trade.sending += 0.02 * (sending - trade.sending);
+        }
+        let ratio = hit.then(|| end.took.seconds() / weight.max(0.001));
+        let work = if fulfilled { weight } else { 0.0 };
+        let (dl, number) = (end.dl, end.pull);
+        post.send(To::Node(was.node), Note::Over { dl, number, verdict, ratio, work });
+        if let Some(source) = was.source {
+            let verdict = match end.remark {
+                Remark::Filled | Remark::FromOrigin | Remark::OriginFailed => Verdict::Good,
+                Remark::SourceRefused | Remark::SourceLost => Verdict::Bad,
+                _ => Verdict::Unclear,
+            };
+            let used = verdict != Verdict::Unclear;
+            post.send(To::Node(source), Note::FillOver { dl, verdict, used });
+        }
+        if behind(end) {
+            self.trouble_behind.add(now, 1.0);
+        }
+        verdict
+    }
+
+    /// Samples τ from misses on copies believed kept, and notes what this answer left where.
+    fn learn(&mut self, end: &PullEnd, was: &Sent, now: Moment) {
+        let Some(Some(held)) = self.dls.get(end.dl.0 as usize) else { return };
+        if !matches!(end.remark, Remark::Filled | Remark::FromOrigin) {
+            return;
+        }
+        let (what, line, at_origin) = (held.what, held.line, end.remark == Remark::FromOrigin);
+        let through = was.source.filter(|s| self.is_parent(*s));
+        let given = line.parent.filter(|(p, since)| Some(*p) == through && self.still(*p, *since, &what));
+        let evicted = self.believed(held, now) == Some(was.node);
+        let kept = line.gap.is_none_or(|gap| gap < self.ledger.edge_tau);
+        let left = line.gap.is_none_or(|gap| gap < self.ledger.parent_tau);
+        if let Some(gap) = line.gap.filter(|_| evicted) {
+            sample(&mut self.ledger.edge_tau, gap);
+        }
+        if let Some(gap) = line.gap.filter(|_| at_origin && given.is_some()) {
+            sample(&mut self.ledger.parent_tau, gap);
+        }
+        let Some(entry) = self.ledger.lines.get_mut(&(what.object, what.part)) else { return };
+        entry.edge = kept.then_some((was.node, now));
+        if let Some(parent) = through.filter(|_| left) {
+            entry.parent = Some((parent, now));
+        } else if at_origin {
+            entry.parent = None;
+        }
+    }
+}
+
+fn behind(end: &PullEnd) -> bool {
+    use Remark::*;
+    matches!(end.remark, SourceRefused | SourceLost | SourceLacks | OriginFailed)
+}
--- /dev/null
+++ b/src/door.rs
@@ -0,0 +1,232 @@
+//! The one door to the core: a front hands in events and gets orders back.
+//!
+//! A front opens a `Brain` with a `ServiceProfile`, and then calls `Brain::turn` with the events of a moment.
+//! It keeps a `Register`, which turns the front's own ids into small indices and back.
+use crate::state::*;
+use crate::time::Span;
+use std::collections::HashMap;
+
+/// What a router is told of its service when it starts.
+#[derive(Clone, Debug)]
+pub struct ServiceProfile {
+    pub zone: u16,
+    /// How many routers serve each zone, by zone; zero for the hubs.
+    pub zone_routers: Vec<u16>,
+    pub routers: u16,
+    /// The hub of each zone; hubs stand in a ring.
+    pub hub_of: Vec<u16>,
+    pub contents: Vec<Content>,
+    /// Roster scales that stay the same and compare sizes.
+    pub scales_compare: bool,
+    pub roster_on_call: bool,
+    pub may_cancel: bool,
+    pub may_duplicate: bool,
+    pub may_bypass: bool,
+    pub may_join: bool,
+    pub may_probe: bool,
+    pub siblings: Siblings,
+    pub most_pulls: u32,
+    /// Zero: clients are not told when to come back.
+    pub longest_retry_after: Span,
+    pub tells_fills: bool,
+    pub flow_kb_per_s: f64,
+    /// Kilobytes a second of each zone's link in; zero where it is not told.
+    pub zone_link_kb_per_s: Vec<f64>,
+    pub cold_from: f64,
+    pub cold: Span,
+    pub fall_multiple: f64,
+    pub fall: Span,
+    pub parent_cold_from: f64,
+    pub parent_cold: Span,
+    pub parent_fall_multiple: f64,
+    pub origin_fall_multiple: f64,
+    pub purge_settles: Span,
+}
+
+#[derive(Clone, Debug)]
+pub struct Content {
+    pub repeat: Repeat,
+    pub target: Span,
+    pub target_stretch: f64,
+    pub expiry: Span,
+    pub benefit: f64,
+    pub late_share: f64,
+    pub write: bool,
+    /// None: a copy is good until it is purged.
+    pub fresh: Option<Span>,
+    pub grace: Span,
+    pub aged_share: f64,
+}
+
+#[derive(Clone, Debug)]
+pub enum Event {
+    Roster {
+        news: RosterNews,
+        listings: Vec<Listing>,
+    },
+    Arrived {
+        dl: DlIx,
+        download: Download,
+    },
+    /// A streamed answer has begun: the pull is the client's now.
+    Began {
+        dl: DlIx,
+        pull: u8,
+    },
+    Ended(PullEnd),
+    /// The client left, or the answer was overdue.
+    Left {
+        dl: DlIx,
+    },
+    Rang {
+        bell: u32,
+    },
+    Probed {
+        node: NodeIx,
+        alive: bool,
+    },
+    /// No object: every object of the group.
+    Purged {
+        object: Option<ObjectKey>,
+        group: u32,
+        ago: Span,
+    },
+}
+
+#[derive(Clone, Copy, PartialEq, Debug)]
+pub enum Order {
+    Pull(Pull),
+    Cancel {
+        dl: DlIx,
+        pull: u8,
+    },
+    Throttle {
+        dl: DlIx,
+        retry_after: Span,
+    },
+    Abandon {
+        dl: DlIx,
+    },
+    Ring {
+        after: Span,
+        bell: u32,
+    },
+    Probe {
+        node: NodeIx,
+    },
+    WatchRoster,
+    /// Nothing more will be said of this download: its index is free.
+    Forget {
+        dl: DlIx,
+    },
+}
+
+#[derive(Clone, Copy, PartialEq, Debug)]
+pub struct Pull {
+    pub dl: DlIx,
+    pub node: NodeIx,
+    /// None: what the node lacks is not filled.
+    pub source: Option<NodeIx>,
+    /// Zero: the content type's fresh time.
+    pub oldest: Span,
+    pub rank: u8,
+    /// Zero: until the client leaves.
+    pub time_out: Span,
+    pub join: bool,
+    pub only_held: bool,
+    pub no_copy: bool,
+    pub renew: bool,
+}
+
+/// Ids of a front and the small indices that stand for them behind the door.
+#[derive(Default)]
+pub struct Register {
+    node_ids: Vec<u32>,
+    nodes: HashMap<u32, NodeIx>,
+    dl_ids: Vec<u64>,
+    dls: HashMap<u64, DlIx>,
+    free: Vec<DlIx>,
+}
+
+impl Register {
+    pub fn enter_node(&mut self, id: u32) -> NodeIx {
+        *self.nodes.entry(id).or_insert_with(|| {
+            self.node_ids.push(id);
+            NodeIx(self.node_ids.len() as u32 - 1)
+        })
+    }
+
+    pub fn node(&self, id: u32) -> Option<NodeIx> {
+        self.nodes.get(&id).copied()
+    }
+
+    pub fn node_id(&self, node: NodeIx) -> u32 {
+        self.node_ids[node.0 as usize]
+    }
+
+    pub fn enter_dl(&mut self, id: u64) -> DlIx {
+        let dl = self.free.pop().unwrap_or_else(|| {
+            self.dl_ids.push(id);
+            DlIx(self.dl_ids.len() as u32 - 1)
+        });
+        self.dl_ids[dl.0 as usize] = id;
+        self.dls.insert(id, dl);
+        dl
+    }
+
+    pub fn dl(&self, id: u64) -> Option<DlIx> {
+        self.dls.get(&id).copied()
+    }
+
+    pub fn dl_id(&self, dl: DlIx) -> u64 {
+        self.dl_ids[dl.0 as usize]
+    }
+
+    pub fn forget_dl(&mut self, dl: DlIx) {
+        if self.dls.remove(&self.dl_ids[dl.0 as usize]).is_some() {
+            self.free.push(dl);
+        }
+    }
+}
+
+impl Post {
+    /// Puts what an event says into the inboxes it is for.
+    pub(crate) fn deliver(&mut self, event: Event) {
+        let note = match event {
+            Event::Roster { news: RosterNews::Failed, .. } => Note::RosterLost,
+            Event::Roster { news, listings } => return self.deliver_roster(news, listings),
+            Event::Arrived { dl, download } => Note::Arrived(dl, download),
+            Event::Ended(end) => Note::Ended(end),
+            Event::Left { dl } => Note::Left(dl),
+            Event::Rang { .. } => {
+                for node in 0..self.named.len() {
+                    if self.named[node].is_some() {
+                        self.send(To::Node(NodeIx(node as u32)), Note::Beat);
+                    }
+                }
+                Note::Beat
+            }
+            Event::Purged { object, group, ago } => Note::Purged { object, group, at: self.now.before(ago) },
+            Event::Began { .. } | Event::Probed { .. } => return,
+        };
+        self.send(To::Desk, note);
+    }
+
+    /// A node that a whole list leaves out is gone.
+    fn deliver_roster(&mut self, news: RosterNews, mut listings: Vec<Listing>) {
+        if news == RosterNews::Whole {
+            let missing = |l: &&Listing| !listings.iter().any(|o| o.node == l.node);
+            let gone = self.named.iter().flatten().filter(missing);
+            let gone: Vec<_> = gone.map(|l| Listing { phase: Phase::Gone, ..*l }).collect();
+            listings.extend(gone);
+        }
+        for listing in listings {
+            let at = listing.node.0 as usize;
+            if self.named.len() <= at {
+                self.named.resize(at + 1, None);
+            }
+            self.named[at] = Some(listing);
+            self.send(To::Desk, Note::Listed(listing, Cold::default()));
+        }
+    }
+}
--- /dev/null
+++ b/src/state.rs
@@ -0,0 +1,409 @@
+//! The data that events, orders and the decisions share. Nothing here decides anything.
+use crate::door::{Content, Order, Pull, ServiceProfile};
+use crate::ring::Ring;
+use crate::time::{Moment, Span};
+use std::collections::{HashMap, VecDeque};
+use std::hash::{DefaultHasher, Hash, Hasher};
+
+/// Index of a cache, parent or origin, given out at the door.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Debug, Hash)]
+pub struct NodeIx(pub u32);
+
+/// Index of a download that this router holds, given out at the door and used again later.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Debug, Hash)]
+pub struct DlIx(pub u32);
+
+/// Index of a content type in the service profile.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub struct ContentIx(pub u16);
+
+#[derive(Clone, Copy, PartialEq, Eq, Debug, Hash)]
+pub struct ObjectKey(pub u64);
+
+#[derive(Clone, Copy, PartialEq, Debug)]
+pub struct Download {
+    pub content: ContentIx,
+    pub object: ObjectKey,
+    pub part: u32,
+    pub group: u32,
+    /// Size of this part; zero where it is not told.
+    pub kilobytes: f32,
+    pub leaves_at: Moment,
+    pub repeat: bool,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Phase {
+    Ready,
+    Draining,
+    Gone,
+}
+
+/// Where a node stands between the clients and the one place that has everything.
+#[derive(Clone, Copy, PartialEq, Eq, Debug, Default)]
+pub enum Role {
+    #[default]
+    Cache,
+    Parent,
+    Origin,
+}
+
+/// One line of the roster.
+#[derive(Clone, Copy, PartialEq, Debug)]
+pub struct Listing {
+    pub node: NodeIx,
+    /// The same number for the node at every router: what hashes are taken over.
+    pub stamp: u64,
+    pub zone: u16,
+    pub cell: u16,
+    pub kind: u8,
+    pub scale: f32,
+    pub role: Role,
+    pub phase: Phase,
+    /// None: running for longer than anyone needs to know.
+    pub started: Option<Moment>,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum RosterNews {
+    Changes,
+    Whole,
+    /// No entries; what was known before still holds.
+    Failed,
+}
+
+/// How a pull ended.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Ending {
+    Fulfilled,
+    Error,
+    Full,
+    TimedOut,
+    NoConnection,
+    Broken,
+    Cancelled,
+    NotSent,
+    Missed,
+}
+
+impl Ending {
+    /// The protocol's own promise that nothing ran.
+    pub fn proves_unrun(self) -> bool {
+        matches!(self, Ending::Full | Ending::NoConnection | Ending::NotSent | Ending::Missed)
+    }
+}
+
+/// What a node tells of how it came by the object, or why it did not.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Remark {
+    Nothing,
+    Hit,
+    Filled,
+    FromOrigin,
+    Joined,
+    Aged,
+    SourceRefused,
+    SourceLost,
+    SourceLacks,
+    NoPlace,
+    OriginFailed,
+}
+
+#[derive(Clone, Copy, PartialEq, Debug)]
+pub struct PullEnd {
+    pub dl: DlIx,
+    pub pull: u8,
+    pub node: NodeIx,
+    pub ending: Ending,
+    pub remark: Remark,
+    /// The download has its final answer, by this end or earlier.
+    pub closed: bool,
+    pub took: Span,
+    pub first_byte: Span,
+}
+
+/// What a running of the same download again may do.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Repeat {
+    Retriable,
+    Deduped { within: Circle, memory: Span },
+    NonRetriable,
+}
+
+/// The caches that know each other's deduped downloads.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Circle {
+    All,
+    Zone,
+    Cell,
+}
+
+/// Which caches may be the source of a fill.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Siblings {
+    None,
+    Zone,
+    Any,
+}
+
+/// What differs by content type, and what is learnt of it.
+pub struct Trade {
+    pub(crate) content: Content,
+    /// Mean seconds that a warm, idle cache takes to send one.
+    pub(crate) sending: f64,
+    /// Cheapness among the content types: 0 for the one that earns most for its sending time, up to 1.
+    pub(crate) cheap: f64,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq)]
+pub enum To {
+    Desk,
+    Node(NodeIx),
+}
+
+#[derive(Clone, Copy, PartialEq, Eq)]
+pub enum Verdict {
+    Good,
+    Bad,
+    Full,
+    Unclear,
+}
+
+/// A pull that the desk would like a node to take.
+#[derive(Clone, Copy)]
+pub struct Ask {
+    pub(crate) pull: Pull,
+    pub(crate) number: u8,
+    pub(crate) weight: f64,
+    pub(crate) overdue: Span,
+    pub(crate) sure: bool,
+    pub(crate) cheap: f64,
+    pub(crate) bound: f64,
+    pub(crate) proven: f64,
+    pub(crate) trial: bool,
+}
+
+#[derive(Clone, Copy)]
+pub enum Note {
+    Beat,
+    RosterLost,
+    /// To the desk from the door, and on to the node with the rules for its cold start.
+    Listed(Listing, Cold),
+    Arrived(DlIx, Download),
+    Left(DlIx),
+    Ended(PullEnd),
+    Purged {
+        object: Option<ObjectKey>,
+        group: u32,
+        at: Moment,
+    },
+    Ask(Ask),
+    Answer {
+        dl: DlIx,
+        node: NodeIx,
+        taken: bool,
+    },
+    AskFill {
+        dl: DlIx,
+        charge: f64,
+        proven: f64,
+    },
+    FillAnswer {
+        dl: DlIx,
+        node: NodeIx,
+        granted: bool,
+    },
+    Over {
+        dl: DlIx,
+        number: u8,
+        verdict: Verdict,
+        ratio: Option<f64>,
+        work: f64,
+    },
+    FillOver {
+        dl: DlIx,
+        verdict: Verdict,
+        used: bool,
+    },
+    Overdue {
+        dl: DlIx,
+        number: u8,
+    },
+    Proven {
+        node: NodeIx,
+        rate: f64,
+    },
+}
+
+/// The inboxes, and what leaves the router.
+#[derive(Default)]
+pub struct Post {
+    pub(crate) now: Moment,
+    pub(crate) inboxes: Vec<VecDeque<Note>>,
+    pub(crate) due: VecDeque<To>,
+    pub(crate) orders: Vec<Order>,
+    pub(crate) seed: u64,
+    pub(crate) drawn: u64,
+    /// The last that was said of each node, to tell who is missing from a whole list.
+    pub(crate) named: Vec<Option<Listing>>,
+}
+
+impl Post {
+    pub(crate) fn slot(to: To) -> usize {
+        match to {
+            To::Desk => 0,
+            To::Node(node) => node.0 as usize + 1,
+        }
+    }
+    pub(crate) fn send(&mut self, to: To, note: Note) {
+        let slot = Self::slot(to);
+        if self.inboxes.len() <= slot {
+            self.inboxes.resize_with(slot + 1, VecDeque::new);
+        }
+        self.inboxes[slot].push_back(note);
+        self.due.push_back(to);
+    }
+    pub(crate) fn next(&mut self) -> Option<(To, Note)> {
+        let to = self.due.pop_front()?;
+        self.inboxes[Self::slot(to)].pop_front().map(|note| (to, note))
+    }
+    pub(crate) fn order(&mut self, order: Order) {
+        self.orders.push(order);
+    }
+    pub(crate) fn chance(&mut self) -> f64 {
+        self.drawn += 1;
+        unit(hash((self.seed, self.drawn)))
+    }
+}
+
+pub(crate) fn hash(of: impl Hash) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    of.hash(&mut hasher);
+    hasher.finish()
+}
+
+/// Strictly between 0 and 1, so that its logarithm is finite.
+pub(crate) fn unit(hash: u64) -> f64 {
+    ((hash >> 12) as f64 + 0.5) / (1u64 << 52) as f64
+}
+
+/// How a node starts cold, and what this router may take it to carry.
+#[derive(Clone, Copy, Default)]
+pub struct Cold {
+    pub(crate) from: f64,
+    pub(crate) lasts: Span,
+    pub(crate) multiple: f64,
+    pub(crate) window: Span,
+    /// Transfers, a router, that are assumed before a like node was seen to carry more.
+    pub(crate) floor: f64,
+}
+
+/// A pull under way at a node.
+pub struct Out {
+    pub(crate) dl: DlIx,
+    pub(crate) number: u8,
+    pub(crate) sent: Moment,
+    pub(crate) overdue: Span,
+    pub(crate) sure: bool,
+    pub(crate) told: bool,
+}
+
+/// A cache, a parent or the origin: an actor that takes pulls and fills, or declines them.
+#[derive(Default)]
+pub struct Node {
+    pub(crate) listing: Option<Listing>,
+    pub(crate) cold: Cold,
+    pub(crate) out: Vec<Out>,
+    pub(crate) fills: Vec<(DlIx, Moment, f64)>,
+    pub(crate) streak: f64,
+    pub(crate) aside: Option<Moment>,
+    pub(crate) holds: i32,
+    pub(crate) last_good: Moment,
+    pub(crate) sent: Ring,
+    pub(crate) done: Ring,
+    pub(crate) ratio: Ring,
+    pub(crate) room: f64,
+}
+
+/// The design's last-request table and its two characteristic times.
+#[derive(Default)]
+pub struct Ledger {
+    pub(crate) lines: HashMap<(ObjectKey, u32), Line>,
+    pub(crate) by_age: VecDeque<(Moment, (ObjectKey, u32))>,
+    pub(crate) edge_tau: Span,
+    pub(crate) parent_tau: Span,
+}
+
+/// A node and since when it has had the copy.
+pub type Copied = Option<(NodeIx, Moment)>;
+
+#[derive(Clone, Copy, Default)]
+pub struct Line {
+    pub(crate) last: Moment,
+    pub(crate) gap: Option<Span>,
+    pub(crate) edge: Copied,
+    pub(crate) parent: Copied,
+}
+
+#[derive(Clone, Copy)]
+pub struct Sent {
+    pub(crate) node: NodeIx,
+    pub(crate) source: Option<NodeIx>,
+    pub(crate) at: Moment,
+    pub(crate) over: bool,
+    pub(crate) called_back: bool,
+}
+
+/// A download that the router holds.
+pub struct Dl {
+    pub(crate) what: Download,
+    pub(crate) line: Line,
+    pub(crate) sent: Vec<Sent>,
+    /// Who said no to the pull now being placed.
+    pub(crate) declined: Vec<NodeIx>,
+    /// Which nodes failed it, for good.
+    pub(crate) failed: Vec<NodeIx>,
+    pub(crate) source: Option<NodeIx>,
+    pub(crate) fill_failures: u32,
+    /// The first pull that may have run, and where.
+    pub(crate) may_have_run: Option<(Moment, NodeIx)>,
+    pub(crate) answered: bool,
+}
+
+impl Dl {
+    pub(crate) fn new(what: Download, line: Line) -> Dl {
+        let (sent, declined, failed) = (Vec::new(), Vec::new(), Vec::new());
+        let (source, may_have_run) = (None, None);
+        Dl { what, line, sent, declined, failed, source, fill_failures: 0, may_have_run, answered: false }
+    }
+    pub(crate) fn pulls_out(&self) -> bool {
+        self.sent.iter().any(|s| !s.over)
+    }
+}
+
+/// What a router was told lately of purges.
+#[derive(Default)]
+pub struct Purges {
+    pub(crate) objects: HashMap<ObjectKey, Moment>,
+    pub(crate) groups: HashMap<u32, Moment>,
+}
+
+/// Takes downloads in, finds each its way, and answers it.
+pub struct Desk {
+    pub(crate) profile: ServiceProfile,
+    pub(crate) trades: Vec<Trade>,
+    pub(crate) roster: Vec<Option<Listing>>,
+    pub(crate) proven: Vec<f64>,
+    pub(crate) out: Vec<usize>,
+    pub(crate) dls: Vec<Option<Dl>>,
+    pub(crate) ledger: Ledger,
+    pub(crate) purges: Purges,
+    pub(crate) trouble_behind: Ring,
+}
+
+/// One router's decisions; the way in is through `door`.
+pub struct Brain {
+    pub(crate) post: Post,
+    pub(crate) desk: Desk,
+    pub(crate) nodes: Vec<Node>,
+}
