--- a/src/brain.rs
+++ b/src/brain.rs
@@ -23,7 +23,7 @@
 const TAU_WEIGHT: f64 = 0.1;
 const TABLE_CAP: f64 = 1.2;
 const FIRST_RANK: u8 = 1;
-const LATER_RANK: u8 = 2;
+const LATER_RANK: u8 = 1;
 const FILL_BOUND: usize = 16;
 
 // (1) Three in a row are hardly chance at the rate of errors of a sound cache.
