Leave a home cache only at eight pulls and twice its part

Cause: at four pulls a home was left in ordinary traffic, parts were kept twice and the hit rate fell.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -23,7 +23,7 @@
 const TAU_WEIGHT: f64 = 0.1;
 const TABLE_CAP: f64 = 1.2;
 const FIRST_RANK: u8 = 1;
-const LATER_RANK: u8 = 1;
+const LATER_RANK: u8 = 2;
 const FILL_BOUND: usize = 16;
 
 // (1) Three in a row are hardly chance at the rate of errors of a sound cache.
@@ -46,8 +46,8 @@
 const SLOW_RATIO: f64 = 2.5;
 const CHEAP_FROM: f64 = 0.75;
 const DEAR_FROM: f64 = 0.95;
-const SPREAD: f64 = 1.5;
-const SPREAD_LEAST: f64 = 4.0;
+const SPREAD: f64 = 2.0;
+const SPREAD_LEAST: f64 = 8.0;
 const BACK_IN: Span = Span::millis(400);
 // (5) Clocks are read once a round: a copy made at the very moment of a purge is not trusted.
 const PURGE_MARGIN: Span = Span::millis(5);
