Learning gates for the link in and the origin, counted by the odds of a fill

Cause: fill bounds counted every pull until it ended, hits too, so that parents and origin seemed taken and half of the downloads were only looked for; and once the link in or the origin was slow, fills went on until clients left. Fills are now counted by measured odds, pass a gate each for the link and the origin that narrows while answers come too slowly, and past the origin's gate a parent is still asked for what it holds. It may hurt where a fault makes all fills slow but none useless: then it sheds more than it needs to.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -7,9 +7,9 @@
 //! (1) failures in a row set a cache or parent aside, and a trial download later brings it back;
 //! (2) a cold budget, this router's share of what a fresh cache or parent may be sent;
 //! (3) pulls on a node set aside or gone are called back, and further pulls go on in hash order;
-//! (4) throttling by chance as caches fill up, cheaper downloads more often;
+//! (4) throttling by chance as a cache's gate fills up, cheaper downloads more often;
 //! (5) purge memory, which bounds the age of the copies that will do;
-//! (6) the origin and link guard, which bounds fills and falls back on copies that are held.
+//! (6) the origin and link guard: such gates for fills, past which only copies that are held are asked for.
 use crate::door::{Content, Event, Order, Pull, ServiceProfile};
 use crate::ring::Ring;
 pub use crate::state::Brain;
@@ -24,7 +24,7 @@
 const TABLE_CAP: f64 = 1.2;
 const FIRST_RANK: u8 = 1;
 const LATER_RANK: u8 = 2;
-const FILL_BOUND: usize = 16;
+const FILL_BOUND: f64 = 16.0; // fills to be expected among our pulls
 
 // (1) Three in a row are hardly chance at the rate of errors of a sound cache.
 const FAILURES_IN_A_ROW: f64 = 3.0;
@@ -34,8 +34,6 @@
 const ASIDE_MOST: Span = Span::millis(8_000);
 // (2) The part of the allowance that is used, for what the estimates get wrong.
 const COLD_MARGIN: f64 = 0.7;
-// A believed copy may be gone all the same; its fill then asks a cold parent.
-const SURE_FILL: f64 = 0.3;
 // (3)
 const BEAT: Span = Span::millis(50);
 const OVERDUE_MULTIPLE: f64 = 4.0;
@@ -43,6 +41,8 @@
 // (4)
 const ROOM_START: f64 = 24.0;
 const ROOM_LEAST: f64 = 3.0;
+const ROOM_CUT: f64 = 0.97;
+const ROOM_STEP: f64 = 0.5;
 const SLOW_RATIO: f64 = 2.5;
 const CHEAP_FROM: f64 = 0.75;
 const DEAR_FROM: f64 = 0.95;
@@ -52,9 +52,11 @@
 // (5) Clocks are read once a round: a copy made at the very moment of a purge is not trusted.
 const PURGE_MARGIN: Span = Span::millis(5);
 // (6)
-const ORIGIN_BOUND: usize = 12;
 const FILL_FAILURES: u32 = 2;
-const TROUBLE_BEHIND: f64 = 3.0;
+const LINK_SLOW: f64 = 2.5;
+const ORIGIN_SLOW: f64 = 1.0;
+// What a failure counts for beside the slow answers that it stands among.
+const FAILED_RATIO: f64 = 4.0;
 
 impl Brain {
     pub fn open(profile: ServiceProfile, seed: u64, now: Moment) -> Brain {
@@ -97,30 +99,27 @@
                 let taken = self.take(&ask, post);
                 post.send(To::Desk, Note::Answer { dl: ask.pull.dl, node: ask.pull.node, taken });
             }
-            Note::AskFill { dl, charge, proven } => {
-                let granted = self.grants(charge, proven, now);
+            Note::AskFill { dl, odds, weight, proven } => {
+                let granted = self.grants(odds * weight, proven, now);
                 if granted {
-                    self.sent.add(now, charge);
-                    self.fills.push((dl, now, charge));
+                    self.sent.add(now, odds * weight);
+                    self.fills.push((dl, now, odds, weight));
                 }
                 let node = self.listing.map_or(NodeIx(0), |l| l.node);
                 post.send(To::Desk, Note::FillAnswer { dl, node, granted });
             }
             Note::FillOver { dl, verdict, used } => {
                 let Some(at) = self.fills.iter().position(|f| f.0 == dl) else { return };
-                let (_, sent, charge) = self.fills.swap_remove(at);
-                if used {
-                    self.done.add(now, charge);
-                } else {
-                    self.sent.weigh(sent, 0.0, -charge);
-                }
+                let (_, sent, odds, weight) = self.fills.swap_remove(at);
+                self.sent.weigh(sent, 0.0, if used { weight } else { 0.0 } - odds * weight);
+                self.done.add(now, if used { weight } else { 0.0 });
                 self.judge(verdict, 1.0, post);
             }
             Note::Over { dl, number, verdict, ratio, work } => {
                 self.out.retain(|o| (o.dl, o.number) != (dl, number));
                 self.done.add(now, work);
                 if let Some(ratio) = ratio {
-                    self.ratio.add(now, ratio);
+                    self.gate.show(ratio, now);
                 }
                 self.judge(verdict, 1.0, post);
             }
@@ -132,14 +131,13 @@
         let anew = self.listing.is_none_or(|l| listing.started > l.started);
         if anew || listing.phase == Phase::Gone {
             // What was seen of a process that is no more says nothing of the next one.
-            (self.streak, self.aside, self.holds, self.room) = (0.0, None, 0, ROOM_START);
+            (self.streak, self.aside, self.holds, self.gate) = (0.0, None, 0, Gate::open(SLOW_RATIO));
             self.call_back(post);
         }
         if anew {
             self.last_good = post.now;
             self.sent = Ring::new(cold.window * 0.1, 11);
             self.done = Ring::new(Span::millis(2_000), 8);
-            self.ratio = Ring::new(Span::millis(250), 4);
         }
         (self.listing, self.cold) = (Some(listing), cold);
     }
@@ -175,9 +173,8 @@
         if !fit || !self.bears(ask.weight, ask.proven, now) {
             return false;
         }
-        // (4) By chance, so that routers that know nothing of each other don't swing together.
-        let from = DEAR_FROM + (CHEAP_FROM - DEAR_FROM) * ask.cheap;
-        if post.chance() < (out / self.room - from) / (1.1 - from) {
+        self.gate.used = out;
+        if !self.gate.lets(0.0, ask.cheap, post.chance()) {
             return false;
         }
         let (dl, number, overdue, sure) = (ask.pull.dl, ask.number, ask.overdue, ask.sure);
@@ -189,9 +186,9 @@
 
     fn grants(&self, charge: f64, proven: f64, now: Moment) -> bool {
         let origin = self.listing.is_some_and(|l| l.role == Role::Origin);
-        let bound = if origin { ORIGIN_BOUND } else { FILL_BOUND };
         let trial = |until| now >= until && self.fills.is_empty();
-        let fit = self.is_ready() && self.aside.is_none_or(trial) && self.fills.len() < bound;
+        let under_way = self.fills.iter().map(|f| f.2).sum::<f64>();
+        let fit = self.is_ready() && self.aside.is_none_or(trial) && (origin || under_way <= FILL_BOUND);
         fit && (origin || self.bears(charge, proven, now))
     }
 
@@ -206,7 +203,7 @@
                 (self.streak, self.aside, self.last_good) = (0.0, None, now);
             }
             Verdict::Bad => self.streak += failure,
-            Verdict::Full => self.room = (self.room * 0.8).min(self.out.len() as f64).max(ROOM_LEAST),
+            Verdict::Full => self.gate.show(FAILED_RATIO, now),
             Verdict::Unclear => {}
         }
         if verdict == Verdict::Bad && (self.streak >= FAILURES_IN_A_ROW || self.aside.is_some()) {
@@ -218,25 +215,50 @@
 
     fn beat(&mut self, post: &mut Post) {
         let (now, aside, last_good) = (post.now, self.aside.is_some(), self.last_good);
-        let mut failures = Vec::new();
+        let mut failures = 0.0;
         for out in self.out.iter_mut().filter(|o| !o.told && now.since(o.sent) > o.overdue) {
             out.told = true;
-            if out.sent >= last_good || aside {
-                failures.push(if out.sure { 1.0 } else { DOUBTFUL_FAILURE });
-            }
+            let counts = out.sent >= last_good || aside;
+            failures += if out.sure { 1.0 } else { DOUBTFUL_FAILURE } * f64::from(u8::from(counts));
         }
-        failures.into_iter().for_each(|failure| self.judge(Verdict::Bad, failure, post));
-        // The limit follows what the cache shows: sending for longer than needed means too many at once.
-        match self.ratio.mean(now) {
-            Some(ratio) if ratio > SLOW_RATIO => self.room = (self.room * 0.97).max(ROOM_LEAST),
-            Some(_) if self.out.len() as f64 > self.room * 0.7 => self.room += 0.5,
-            _ => {}
+        if failures > 0.0 {
+            self.judge(Verdict::Bad, failures, post);
         }
+        self.gate.used = self.out.len() as f64;
+        self.gate.beat(now);
         let Some(listing) = self.listing else { return };
         post.send(To::Desk, Note::Proven { node: listing.node, rate: self.done.peak_rate(now) });
     }
 }
 
+/// A bound that learns: what passes it is held until it is over, and answers that took longer than they
+/// should narrow it. Guards against overload of what stands behind, whether load or a fault caused it.
+impl Gate {
+    fn open(slow: f64) -> Gate {
+        Gate { room: ROOM_START, used: 0.0, slow, shown: Ring::new(Span::millis(250), 4) }
+    }
+
+    /// (4) By chance, so that routers that know nothing of each other don't swing together.
+    fn lets(&mut self, charge: f64, cheap: f64, chance: f64) -> bool {
+        let from = DEAR_FROM + (CHEAP_FROM - DEAR_FROM) * cheap;
+        let lets = chance >= ((self.used + charge) / self.room - from) / (1.1 - from);
+        self.used += if lets { charge } else { 0.0 };
+        lets
+    }
+
+    fn show(&mut self, ratio: f64, now: Moment) {
+        self.shown.add(now, ratio.min(FAILED_RATIO * self.slow));
+    }
+
+    fn beat(&mut self, now: Moment) {
+        match self.shown.mean(now) {
+            Some(ratio) if ratio > self.slow => self.room = (self.room * ROOM_CUT).max(ROOM_LEAST),
+            Some(_) if self.used > self.room * 0.7 => self.room += ROOM_STEP,
+            _ => {}
+        }
+    }
+}
+
 impl Ledger {
     fn enter(&mut self, key: (ObjectKey, u32), repeat: bool, now: Moment) -> Line {
         let expiry = self.parent_tau * TABLE_CAP;
@@ -250,41 +272,12 @@
         self.by_age.push_back((now, key));
         line
     }
-
-    fn tidy(&mut self, now: Moment) {
-        let expiry = self.parent_tau * TABLE_CAP;
-        while let Some((at, key)) = self.by_age.front().copied().filter(|(at, _)| now.since(*at) > expiry) {
-            self.by_age.pop_front();
-            if self.lines.get(&key).is_some_and(|l| l.last <= at) {
-                self.lines.remove(&key);
-            }
-        }
-    }
 }
 
 fn sample(tau: &mut Span, seen: Span) {
     *tau = *tau * (1.0 - TAU_WEIGHT) + seen * TAU_WEIGHT;
 }
 
-impl Purges {
-    fn hear(&mut self, object: Option<ObjectKey>, group: u32, at: Moment) {
-        let known = match object {
-            Some(object) => self.objects.entry(object).or_insert(at),
-            None => self.groups.entry(group).or_insert(at),
-        };
-        *known = at.max(*known);
-    }
-
-    fn tidy(&mut self, settled: Moment) {
-        self.objects.retain(|_, at| *at >= settled);
-        self.groups.retain(|_, at| *at >= settled);
-    }
-
-    fn last_of(&self, what: &Download) -> Option<Moment> {
-        self.objects.get(&what.object).max(self.groups.get(&what.group)).copied()
-    }
-}
-
 impl Desk {
     fn open(profile: ServiceProfile) -> Desk {
         // Cheap is what earns little for the sending that it takes; targets stand in for sizes not yet seen.
@@ -299,8 +292,9 @@
         let parent_tau = PARENT_TAU_START * f64::from(profile.routers.max(1));
         let ledger = Ledger { edge_tau, parent_tau, ..Ledger::default() };
         let (roster, proven, out, dls) = Default::default();
-        let trouble_behind = Ring::new(Span::millis(250), 8);
-        Desk { profile, trades, roster, proven, out, dls, ledger, purges: Purges::default(), trouble_behind }
+        let odds = [(); 3].map(|()| Ring::new(Span::millis(500), 8));
+        let (link, origin, purges) = (Gate::open(LINK_SLOW), Gate::open(ORIGIN_SLOW), Purges::default());
+        Desk { profile, trades, roster, proven, out, dls, ledger, purges, odds, link, origin }
     }
 
     fn zone_routers(profile: &ServiceProfile) -> f64 {
@@ -315,18 +309,13 @@
             Note::Listed(listing, _) => self.list(listing, post),
             Note::Arrived(dl, what) => {
                 let line = self.ledger.enter((what.object, what.part), what.repeat, now);
-                let at = dl.0 as usize;
-                if self.dls.len() <= at {
-                    self.dls.resize_with(at + 1, || None);
-                }
-                self.dls[at] = Some(Dl::new(what, line));
-                self.ask_source(dl, post);
+                self.hold(dl, Dl::new(what, line));
+                self.pass_gates(dl, post);
             }
             Note::FillAnswer { dl, node, granted: true } => self.ask_cache(dl, Some(node), post),
             Note::FillAnswer { dl, node, .. } => {
-                if let Some(Some(held)) = self.dls.get_mut(dl.0 as usize) {
-                    held.declined.push(node);
-                }
+                let Some(Some(held)) = self.dls.get_mut(dl.0 as usize) else { return };
+                held.declined.push(node);
                 self.ask_source(dl, post);
             }
             Note::Answer { dl, node, taken } => self.answer(dl, node, taken, post),
@@ -336,7 +325,9 @@
             Note::Proven { node, rate } => self.proven[node.0 as usize] = rate,
             Note::Purged { object, group, at } => self.purges.hear(object, group, at),
             Note::Beat => {
-                self.ledger.tidy(now);
+                self.ledger.tidy(now, self.ledger.parent_tau * TABLE_CAP);
+                self.link.beat(now);
+                self.origin.beat(now);
                 self.purges.tidy(now.before(self.profile.purge_settles + PURGE_MARGIN));
                 post.order(Order::Ring { after: BEAT, bell: 0 });
             }
@@ -345,24 +336,17 @@
     }
 
     fn list(&mut self, listing: Listing, post: &mut Post) {
-        let (at, p) = (listing.node.0 as usize, &self.profile);
+        let p = &self.profile;
         let links = p.zone_link_kb_per_s.iter().filter(|l| **l > 0.0);
         let link = links.clone().sum::<f64>() / links.count().max(1) as f64 / p.flow_kb_per_s.max(1.0);
         let window = p.fall.max(Span::millis(100));
-        let cold = if listing.role == Role::Cache {
-            let (from, lasts, multiple, floor) = (p.cold_from, p.cold, p.fall_multiple, 1.0);
-            Cold { from, lasts, multiple, window, floor: floor / Self::zone_routers(p) }
-        } else {
-            // A parent stands for several zones, so that it carries one zone's link at the least.
-            let (from, lasts, multiple) = (p.parent_cold_from, p.parent_cold, p.parent_fall_multiple);
-            Cold { from, lasts, multiple, window, floor: link.max(1.0) / f64::from(p.routers.max(1)) }
-        };
-        if self.roster.len() <= at {
-            self.roster.resize(at + 1, None);
-            self.proven.resize(at + 1, 0.0);
-            self.out.resize(at + 1, 0);
-        }
-        self.roster[at] = Some(listing);
+        // A parent stands for several zones, so that it carries one zone's link at the least.
+        let parents_floor = link.max(1.0) / f64::from(p.routers.max(1));
+        let caches = (p.cold_from, p.cold, p.fall_multiple, 1.0 / Self::zone_routers(p));
+        let parents = (p.parent_cold_from, p.parent_cold, p.parent_fall_multiple, parents_floor);
+        let (from, lasts, multiple, floor) = if listing.role == Role::Cache { caches } else { parents };
+        let cold = Cold { from, lasts, multiple, window, floor };
+        self.enter(listing);
         post.send(To::Node(listing.node), Note::Listed(listing, cold));
     }
 
@@ -384,22 +368,56 @@
         nodes.max_by(|a, b| draw(a).total_cmp(&draw(b))).copied()
     }
 
+    /// (6) Guards the link in and the origin, each against more fills than come back in time. What does not
+    /// pass the link's gate is only looked for at its cache, what does not pass the origin's at its parent too.
+    /// Fills are counted by the odds, since nothing tells beforehand which pulls will need one.
+    fn pass_gates(&mut self, dl: DlIx, post: &mut Post) {
+        let Some(Some(held)) = self.dls.get(dl.0 as usize) else { return };
+        let trade = &self.trades[held.what.content.0 as usize];
+        let (cheap, write, failures) = (trade.cheap, trade.content.write, held.fill_failures);
+        let odds = self.odds(held, post.now);
+        let fills = self.link.lets(odds, cheap, post.chance());
+        let reaches = odds * self.chance_of(2, post.now);
+        let fetches = fills && self.origin.lets(reaches, cheap, post.chance());
+        let Some(Some(held)) = self.dls.get_mut(dl.0 as usize) else { return };
+        held.on_link = if fills { odds } else { 0.0 };
+        held.at_origin = if fetches { reaches } else { 0.0 };
+        held.only_held = !fetches && !write;
+        if write || fills && failures < FILL_FAILURES {
+            return self.ask_source(dl, post);
+        }
+        self.ask_cache(dl, None, post);
+    }
+
+    fn leave_gates(&mut self, dl: DlIx) {
+        let Some(Some(held)) = self.dls.get_mut(dl.0 as usize) else { return };
+        self.link.used -= std::mem::take(&mut held.on_link);
+        self.origin.used -= std::mem::take(&mut held.at_origin);
+    }
+
+    fn chance_of(&self, which: usize, now: Moment) -> f64 {
+        (self.odds[which].sum(now) + 1.0) / (self.odds[which].count(now) + 2.0)
+    }
+
+    /// How likely a pull needs a fill: by what became of those whose copy was believed kept, or was not.
+    fn odds(&self, held: &Dl, now: Moment) -> f64 {
+        self.chance_of(usize::from(self.believed(held, now).is_some()), now)
+    }
+
     /// A way starts with its source: the object's home among all parents, then the origin. What runs at the
     /// origin goes there without a parent, which would keep nothing of it.
     fn ask_source(&mut self, dl: DlIx, post: &mut Post) {
         let Some(Some(held)) = self.dls.get(dl.0 as usize) else { return };
         let write = self.trades[held.what.content.0 as usize].content.write;
-        if held.fill_failures >= FILL_FAILURES && !write {
-            return self.ask_cache(dl, None, post);
-        }
         let open = |l: &&Listing| !held.declined.contains(&l.node);
         let parents = self.ready(Role::Parent).filter(|l| open(l) && !write);
         let home = self.first(parents, held.what.object.0);
-        match home.or_else(|| self.ready(Role::Origin).find(open).copied()) {
+        let origin = || self.ready(Role::Origin).find(|l| open(l) && !held.only_held).copied();
+        match home.or_else(origin) {
             Some(l) => {
-                let share = if self.believed(held, post.now).is_some() { SURE_FILL } else { 1.0 };
-                let (charge, proven) = (self.weight(&held.what) * share, self.like(&l));
-                post.send(To::Node(l.node), Note::AskFill { dl, charge, proven });
+                let odds = if write { 1.0 } else { self.odds(held, post.now) };
+                let (weight, proven) = (self.weight(&held.what), self.like(&l));
+                post.send(To::Node(l.node), Note::AskFill { dl, odds, weight, proven });
             }
             None => self.ask_cache(dl, None, post),
         }
@@ -444,12 +462,11 @@
         let Some(Some(held)) = self.dls.get(dl.0 as usize) else { return };
         let (what, gap) = (&held.what, held.line.gap);
         let trade = &self.trades[what.content.0 as usize];
-        let caches = || self.own_caches().filter(|l| !held.failed.contains(&l.node));
-        let untried = |l: &&Listing| !held.declined.contains(&l.node);
-        let home =
-            self.first(self.own_caches(), (what.object.0, 0)).filter(|h| !held.failed.contains(&h.node));
-        let next = || self.first(caches().filter(untried), (what.object.0, u64::from(what.part) + 1));
-        let Some(best) = home.filter(|h| untried(&h)).or_else(next) else { return self.give_up(dl, post) };
+        let open = |l: &Listing| !held.declined.contains(&l.node) && !held.failed.contains(&l.node);
+        let home = self.first(self.own_caches(), (what.object.0, 0)).filter(open);
+        let others = self.own_caches().filter(|l| open(l));
+        let next = || self.first(others, (what.object.0, u64::from(what.part) + 1));
+        let Some(best) = home.or_else(next) else { return self.give_up(dl, post) };
         if !self.may_pull(held, &best, now) {
             return self.give_up(dl, post);
         }
@@ -457,8 +474,7 @@
         let scales = self.own_caches().map(|l| self.scale(l)).sum::<f64>();
         let fair = (out + 1) as f64 * self.scale(&best) / scales.max(0.01);
         let parent = source.is_some_and(|s| self.is_parent(s));
-        let troubled = held.fill_failures > 0 || source.is_none();
-        let troubled = troubled || self.trouble_behind.count(now) >= TROUBLE_BEHIND;
+        let troubled = held.fill_failures > 0 || held.only_held;
         let pull = Pull {
             dl,
             node: best.node,
@@ -472,7 +488,7 @@
             },
             time_out: Span::ZERO,
             join: self.profile.may_join,
-            only_held: false,
+            only_held: held.only_held && parent,
             no_copy: parent && gap.is_some_and(|gap| gap >= self.ledger.parent_tau),
             renew: trade.content.fresh.is_some() && source.is_some(),
         };
@@ -557,6 +573,7 @@
         } else if !held.answered {
             post.order(Order::Abandon { dl });
         }
+        self.leave_gates(dl);
         self.close(dl, post);
     }
 
@@ -600,27 +617,28 @@
             held.may_have_run = held.sent.iter().find(|s| !s.over).map(|s| (s.at, s.node));
         }
         let verdict = self.tell_nodes(&end, &was, post);
+        self.leave_gates(dl);
         if end.ending == Ending::Fulfilled {
             self.learn(&end, &was, now);
         }
         let Some(Some(held)) = self.dls.get_mut(dl.0 as usize) else { return };
         if held.answered || end.closed {
             return self.close(dl, post);
-        }
-        if held.pulls_out() {
+        } else if held.pulls_out() {
             return;
         }
         if behind(&end) {
             held.fill_failures += 1;
-        } else if verdict != Verdict::Good {
+        } else if verdict != Verdict::Good || end.remark == Remark::NoPlace {
             held.failed.push(was.node);
         }
         let write = self.trades[held.what.content.0 as usize].content.write;
         held.source = None;
-        if end.ending == Ending::Missed && was.source.is_none() || behind(&end) && write {
+        let looked = was.source.is_none() || held.only_held;
+        if end.ending == Ending::Missed && looked || behind(&end) && write {
             return self.give_up(dl, post);
         }
-        self.ask_source(dl, post);
+        self.pass_gates(dl, post);
     }
 
     /// Passes on what an end says of the cache and of its source. What failed behind a cache is not held
@@ -645,6 +663,7 @@
             let sending = if told { weight } else { end.took.seconds() };
             trade.sending += 0.02 * (sending - trade.sending);
         }
+        let target = trade.content.target;
         let ratio = hit.then(|| end.took.seconds() / weight.max(0.001));
         let work = if fulfilled { weight } else { 0.0 };
         let (dl, number) = (end.dl, end.pull);
@@ -658,8 +677,19 @@
             let used = verdict != Verdict::Unclear;
             post.send(To::Node(source), Note::FillOver { dl, verdict, used });
         }
-        if behind(end) {
-            self.trouble_behind.add(now, 1.0);
+        let filled = matches!(end.remark, Remark::Filled | Remark::FromOrigin);
+        if filled || hit {
+            self.odds[usize::from(sure)].add(now, f64::from(u8::from(filled)));
+        }
+        if filled {
+            self.odds[2].add(now, f64::from(u8::from(end.remark == Remark::FromOrigin)));
+            self.link.show((end.took.less(end.first_byte)).seconds() / weight.max(0.001), now);
+        }
+        match end.remark {
+            Remark::FromOrigin => self.origin.show(end.first_byte / target, now),
+            Remark::OriginFailed | Remark::SourceLost => self.origin.show(FAILED_RATIO * ORIGIN_SLOW, now),
+            Remark::NoPlace => self.link.show(FAILED_RATIO * LINK_SLOW, now),
+            _ => {}
         }
         verdict
     }
--- a/src/state.rs
+++ b/src/state.rs
@@ -205,7 +205,8 @@
     },
     AskFill {
         dl: DlIx,
-        charge: f64,
+        odds: f64,
+        weight: f64,
         proven: f64,
     },
     FillAnswer {
@@ -298,6 +299,15 @@
     pub(crate) floor: f64,
 }
 
+/// A bound on what is under way, in pulls, and the slowness that was shown behind it.
+#[derive(Default)]
+pub struct Gate {
+    pub(crate) room: f64,
+    pub(crate) used: f64,
+    pub(crate) slow: f64,
+    pub(crate) shown: Ring,
+}
+
 /// A pull under way at a node.
 pub struct Out {
     pub(crate) dl: DlIx,
@@ -314,15 +324,15 @@
     pub(crate) listing: Option<Listing>,
     pub(crate) cold: Cold,
     pub(crate) out: Vec<Out>,
-    pub(crate) fills: Vec<(DlIx, Moment, f64)>,
+    /// When, how likely and how heavy: a fill is known only when its pull has ended.
+    pub(crate) fills: Vec<(DlIx, Moment, f64, f64)>,
     pub(crate) streak: f64,
     pub(crate) aside: Option<Moment>,
     pub(crate) holds: i32,
     pub(crate) last_good: Moment,
     pub(crate) sent: Ring,
     pub(crate) done: Ring,
-    pub(crate) ratio: Ring,
-    pub(crate) room: f64,
+    pub(crate) gate: Gate,
 }
 
 /// The design's last-request table and its two characteristic times.
@@ -334,6 +344,18 @@
     pub(crate) parent_tau: Span,
 }
 
+impl Ledger {
+    /// Drops what was last asked for longer ago than `expiry`.
+    pub(crate) fn tidy(&mut self, now: Moment, expiry: Span) {
+        while let Some((at, key)) = self.by_age.front().copied().filter(|(at, _)| now.since(*at) > expiry) {
+            self.by_age.pop_front();
+            if self.lines.get(&key).is_some_and(|l| l.last <= at) {
+                self.lines.remove(&key);
+            }
+        }
+    }
+}
+
 /// A node and since when it has had the copy.
 pub type Copied = Option<(NodeIx, Moment)>;
 
@@ -365,6 +387,9 @@
     pub(crate) failed: Vec<NodeIx>,
     pub(crate) source: Option<NodeIx>,
     pub(crate) fill_failures: u32,
+    pub(crate) only_held: bool,
+    pub(crate) on_link: f64,
+    pub(crate) at_origin: f64,
     /// The first pull that may have run, and where.
     pub(crate) may_have_run: Option<(Moment, NodeIx)>,
     pub(crate) answered: bool,
@@ -374,7 +399,20 @@
     pub(crate) fn new(what: Download, line: Line) -> Dl {
         let (sent, declined, failed) = (Vec::new(), Vec::new(), Vec::new());
         let (source, may_have_run) = (None, None);
-        Dl { what, line, sent, declined, failed, source, fill_failures: 0, may_have_run, answered: false }
+        Dl {
+            what,
+            line,
+            sent,
+            declined,
+            failed,
+            source,
+            fill_failures: 0,
+            only_held: false,
+            on_link: 0.0,
+            at_origin: 0.0,
+            may_have_run,
+            answered: false,
+        }
     }
     pub(crate) fn pulls_out(&self) -> bool {
         self.sent.iter().any(|s| !s.over)
@@ -388,6 +426,25 @@
     pub(crate) groups: HashMap<u32, Moment>,
 }
 
+impl Purges {
+    pub(crate) fn hear(&mut self, object: Option<ObjectKey>, group: u32, at: Moment) {
+        let known = match object {
+            Some(object) => self.objects.entry(object).or_insert(at),
+            None => self.groups.entry(group).or_insert(at),
+        };
+        *known = at.max(*known);
+    }
+
+    pub(crate) fn tidy(&mut self, settled: Moment) {
+        self.objects.retain(|_, at| *at >= settled);
+        self.groups.retain(|_, at| *at >= settled);
+    }
+
+    pub(crate) fn last_of(&self, what: &Download) -> Option<Moment> {
+        self.objects.get(&what.object).max(self.groups.get(&what.group)).copied()
+    }
+}
+
 /// Takes downloads in, finds each its way, and answers it.
 pub struct Desk {
     pub(crate) profile: ServiceProfile,
@@ -398,7 +455,10 @@
     pub(crate) dls: Vec<Option<Dl>>,
     pub(crate) ledger: Ledger,
     pub(crate) purges: Purges,
-    pub(crate) trouble_behind: Ring,
+    /// Whether pulls needed a fill, without and with a believed copy, and whether fills went to the origin.
+    pub(crate) odds: [Ring; 3],
+    pub(crate) link: Gate,
+    pub(crate) origin: Gate,
 }
 
 /// One router's decisions; the way in is through `door`.
@@ -407,3 +467,23 @@
     pub(crate) desk: Desk,
     pub(crate) nodes: Vec<Node>,
 }
+
+impl Desk {
+    pub(crate) fn hold(&mut self, dl: DlIx, held: Dl) {
+        let at = dl.0 as usize;
+        if self.dls.len() <= at {
+            self.dls.resize_with(at + 1, || None);
+        }
+        self.dls[at] = Some(held);
+    }
+
+    pub(crate) fn enter(&mut self, listing: Listing) {
+        let at = listing.node.0 as usize;
+        if self.roster.len() <= at {
+            self.roster.resize(at + 1, None);
+            self.proven.resize(at + 1, 0.0);
+            self.out.resize(at + 1, 0);
+        }
+        self.roster[at] = Some(listing);
+    }
+}
