--- a/src/brain.rs
+++ b/src/brain.rs
@@ -131,11 +131,12 @@
         let anew = self.listing.is_none_or(|l| listing.started > l.started);
         if anew || listing.phase == Phase::Gone {
             // What was seen of a process that is no more says nothing of the next one.
-            (self.streak, self.aside, self.holds, self.gate) = (0.0, None, 0, Gate::open(SLOW_RATIO));
+            (self.streak, self.aside, self.holds, self.last_good) = (0.0, None, 0, post.now);
+            self.gate = Gate::open(SLOW_RATIO);
             self.call_back(post);
         }
-        if anew {
-            self.last_good = post.now;
+        if self.listing.is_none() {
+            // These outlive a restart: what was sent before its news came may have met the cold process.
             self.sent = Ring::new(cold.window * 0.1, 11);
             self.done = Ring::new(Span::millis(2_000), 8);
         }
@@ -528,18 +529,18 @@
         if over || spent || held.pulls_out() && !self.profile.may_duplicate {
             return false;
         }
-        let Some((since, node)) = held.may_have_run else { return true };
+        let Some(first) = held.may_have_run() else { return true };
         match self.trades[held.what.content.0 as usize].content.repeat {
             Repeat::Retriable => true,
             Repeat::NonRetriable => false,
             Repeat::Deduped { within, memory } => {
-                let Some(was) = self.roster[node.0 as usize] else { return false };
+                let Some(was) = self.roster[first.node.0 as usize] else { return false };
                 let knows = match within {
                     Circle::All => true,
                     Circle::Zone => was.zone == to.zone,
                     Circle::Cell => (was.zone, was.cell) == (to.zone, to.cell),
                 };
-                knows && now.since(since) < memory
+                knows && now.since(first.at) < memory
             }
         }
     }
@@ -552,8 +553,7 @@
             return self.ask_cache(dl, source, post);
         }
         held.declined.clear();
-        held.sent.push(Sent { node, source, at, over: false, called_back: false });
-        held.may_have_run = held.may_have_run.or(Some((at, node)));
+        held.sent.push(Sent { node, source, at, over: false, unrun: false, called_back: false });
         self.out[node.0 as usize] += 1;
     }
 
@@ -567,7 +567,7 @@
         }
         let repeat = self.trades[held.what.content.0 as usize].content.repeat;
         let known = matches!(repeat, Repeat::Retriable | Repeat::Deduped { within: Circle::All, .. });
-        if !held.answered && (known || held.may_have_run.is_none()) {
+        if !held.answered && (known || held.may_have_run().is_none()) {
             let retry_after = (BACK_IN * (0.5 + post.chance())).min(longest);
             post.order(Order::Throttle { dl, retry_after });
         } else if !held.answered {
@@ -610,12 +610,9 @@
         let (now, dl) = (post.now, end.dl);
         let Some(Some(held)) = self.dls.get_mut(dl.0 as usize) else { return };
         let Some(sent) = held.sent.get_mut(end.pull as usize).filter(|s| !s.over) else { return };
-        sent.over = true;
+        (sent.over, sent.unrun) = (true, end.ending.proves_unrun());
         let was = *sent;
         self.out[was.node.0 as usize] -= 1;
-        if end.ending.proves_unrun() && held.may_have_run == Some((was.at, was.node)) {
-            held.may_have_run = held.sent.iter().find(|s| !s.over).map(|s| (s.at, s.node));
-        }
         let verdict = self.tell_nodes(&end, &was, post);
         self.leave_gates(dl);
         if end.ending == Ending::Fulfilled {
--- a/src/state.rs
+++ b/src/state.rs
@@ -373,6 +373,8 @@
     pub(crate) source: Option<NodeIx>,
     pub(crate) at: Moment,
     pub(crate) over: bool,
+    /// It has ended with a proof that it never ran.
+    pub(crate) unrun: bool,
     pub(crate) called_back: bool,
 }
 
@@ -390,15 +392,13 @@
     pub(crate) only_held: bool,
     pub(crate) on_link: f64,
     pub(crate) at_origin: f64,
-    /// The first pull that may have run, and where.
-    pub(crate) may_have_run: Option<(Moment, NodeIx)>,
     pub(crate) answered: bool,
 }
 
 impl Dl {
     pub(crate) fn new(what: Download, line: Line) -> Dl {
         let (sent, declined, failed) = (Vec::new(), Vec::new(), Vec::new());
-        let (source, may_have_run) = (None, None);
+        let source = None;
         Dl {
             what,
             line,
@@ -410,10 +410,13 @@
             only_held: false,
             on_link: 0.0,
             at_origin: 0.0,
-            may_have_run,
             answered: false,
         }
     }
+    /// The first pull that may have run.
+    pub(crate) fn may_have_run(&self) -> Option<&Sent> {
+        self.sent.iter().find(|s| !s.unrun)
+    }
     pub(crate) fn pulls_out(&self) -> bool {
         self.sent.iter().any(|s| !s.over)
     }
--- /dev/null
+++ b/tests/rules.rs
@@ -0,0 +1,125 @@
+//! The module beside the plain reading of the rules, on generated events; the seeds are fixed.
+mod common;
+use common::*;
+use harestage::state::*;
+use harestage::time::Span;
+use quickcheck::{Gen, QuickCheck};
+
+fn millis(ms: u16) -> Span {
+    Span::millis(u64::from(ms))
+}
+
+fn step(front: &mut Front, (what, how, how_much): (u8, u8, u16)) {
+    let node = u32::from(how_much) % 10;
+    match what % 16 {
+        0..=5 => {
+            let (object, part) = (u64::from(how_much % 7), u32::from(how_much % 3));
+            front.arrive(u16::from(how % 4), object, part, millis(200 + how_much % 2_500));
+        }
+        6..=10 => {
+            let out = front.out();
+            if out.is_empty() {
+                return;
+            }
+            let (ending, remark) = [
+                (Ending::Fulfilled, Remark::Hit),
+                (Ending::Fulfilled, Remark::FromOrigin),
+                (Ending::Fulfilled, Remark::Filled),
+                (Ending::Error, Remark::Nothing),
+                (Ending::Error, Remark::SourceLost),
+                (Ending::Full, Remark::Nothing),
+                (Ending::Full, Remark::SourceRefused),
+                (Ending::Missed, Remark::Nothing),
+                (Ending::NoConnection, Remark::Nothing),
+                (Ending::Broken, Remark::Nothing),
+                (Ending::Cancelled, Remark::Nothing),
+                (Ending::Full, Remark::NoPlace),
+                (Ending::NotSent, Remark::Nothing),
+            ][how as usize % 13];
+            front.end(out[how_much as usize % out.len()], ending, remark);
+        }
+        11 => front.wait(millis(how_much % 900)),
+        12 => {
+            let phase = [Phase::Ready, Phase::Draining, Phase::Gone, Phase::Ready][how as usize % 4];
+            let started = (phase == Phase::Ready).then(|| front.now.before(millis(how_much % 3_000)));
+            front.relist(node, phase, started.filter(|_| how % 8 > 3));
+        }
+        13 => {
+            let kept = front.roster.values().filter(|l| l.node.0 != node).copied().collect();
+            front.list(RosterNews::Whole, kept);
+        }
+        14 => {
+            let object = (how % 2 == 0).then(|| u64::from(how_much % 7));
+            front.purge(object, u32::from(how_much % 3), millis(how_much % 500));
+        }
+        _ => {
+            if let Some(dl) = front.held.keys().nth(how as usize % front.held.len().max(1)).copied() {
+                front.leave(dl);
+            }
+        }
+    }
+    front.wait(Span::millis(u64::from(how % 5) * 10));
+}
+
+fn play(may_cancel: bool, steps: &[(u8, u8, u16)]) {
+    let mut service = profile();
+    service.may_cancel = may_cancel;
+    let mut front = Front::open(service);
+    steps.iter().for_each(|s| step(&mut front, *s));
+    front.wait(Span::millis(4_000));
+    assert!(front.held.is_empty(), "rule 1: downloads were left without an answer");
+}
+
+#[test]
+fn module_and_plain_model_agree_on_what_is_allowed() {
+    fn keeps_rules(may_cancel: bool, steps: Vec<(u8, u8, u16)>) -> bool {
+        play(may_cancel, &steps);
+        true
+    }
+    for seed in 1..=6 {
+        let rng = Gen::from_size_and_seed(220, seed);
+        QuickCheck::new().rng(rng).tests(200).quickcheck(keeps_rules as fn(bool, Vec<(u8, u8, u16)>) -> bool);
+    }
+}
+
+#[test]
+fn cold_caches_are_not_pushed_over_by_a_rush() {
+    // Guards against the whole flow turning to a cache at the moment it returns.
+    let mut front = Front::open(profile());
+    for n in 0..400u64 {
+        if n == 100 {
+            CACHES.iter().for_each(|c| front.relist(*c, Phase::Ready, Some(front.now)));
+        }
+        let dl = front.page(n);
+        if front.held.contains_key(&dl) {
+            front.end(front.last_pull(dl), Ending::Fulfilled, Remark::Hit);
+        }
+        front.wait(Span::millis(10));
+    }
+}
+
+#[test]
+fn what_was_purged_twice_is_bounded_by_the_later_purge() {
+    // Guards against an older purge, told later, loosening the bound of a newer one.
+    let mut front = Front::open(profile());
+    front.purge(Some(4), 1, Span::millis(50));
+    front.purge(None, 1, Span::millis(400));
+    front.purge(Some(4), 1, Span::millis(300));
+    front.wait(Span::millis(100));
+    let dl = front.page(4);
+    assert!(front.last_pull(dl).pull.oldest <= Span::millis(150));
+}
+
+#[test]
+fn a_write_that_may_have_run_is_abandoned_and_a_refused_one_goes_on() {
+    // Guards against a second run of a non-retriable download, and against giving up one that never ran.
+    let mut front = Front::open(profile());
+    let dl = front.arrive(WRITE, 5, 0, Span::millis(3_000));
+    let first = front.last_pull(dl);
+    assert_eq!((first.pull.rank, first.pull.source), (0, Some(NodeIx(ORIGIN))));
+    front.end(first, Ending::NoConnection, Remark::Nothing);
+    let second = front.last_pull(dl);
+    assert_ne!(first.pull.node, second.pull.node);
+    front.end(second, Ending::Broken, Remark::Nothing);
+    assert!(!front.throttled(dl) && !front.held.contains_key(&dl));
+}
--- /dev/null
+++ b/tests/troubles.rs
@@ -0,0 +1,144 @@
+//! One small test for each failure that was found, without the bench.
+mod common;
+use common::*;
+use harestage::door::Order;
+use harestage::state::*;
+use harestage::time::Span;
+
+const TICK: Span = Span::millis(10);
+
+/// Downloads that are found at their cache, so that the module has seen ordinary traffic.
+fn hits(front: &mut Front, objects: std::ops::Range<u64>) {
+    for n in objects {
+        let dl = front.page(n);
+        front.wait(TICK);
+        front.end(front.last_pull(dl), Ending::Fulfilled, Remark::Hit);
+    }
+}
+
+fn home(front: &mut Front, object: u64) -> NodeIx {
+    let dl = front.page(object);
+    let out = front.last_pull(dl);
+    front.end(out, Ending::Fulfilled, Remark::Hit);
+    out.pull.node
+}
+
+#[test]
+fn hits_do_not_use_up_the_places_for_fills() {
+    // Guards against parents that seem taken because every pull was counted as a fill until it ended.
+    let mut front = Front::open(profile());
+    hits(&mut front, 0..200);
+    let dls: Vec<_> = (0..30).map(|n| front.page(n)).collect();
+    let sourced = dls.iter().filter(|d| front.last_pull(**d).pull.source.is_some()).count();
+    assert!(sourced >= 28, "{sourced} of 30 had a source");
+}
+
+#[test]
+fn a_slow_origin_leaves_parents_asked_for_what_they_hold() {
+    // Guards against queues at the origin: past its gate, only copies that are held are asked for.
+    let mut front = Front::open(profile());
+    let mut waiting = Vec::new();
+    for n in 0..600 {
+        waiting.push(front.arrive(PAGE, n, 0, Span::millis(2_000)));
+        front.wait(TICK);
+        while waiting.len() > 60 {
+            let dl = waiting.remove(0);
+            if front.held.contains_key(&dl) && !front.throttled(dl) {
+                front.end(front.last_pull(dl), Ending::Error, Remark::OriginFailed);
+            }
+        }
+    }
+    let held_only = |o: &&Order| matches!(o, Order::Pull(p) if p.only_held && p.source.is_some());
+    assert!(front.orders.iter().filter(held_only).count() > 50);
+}
+
+#[test]
+fn three_failures_in_a_row_set_a_cache_aside_until_a_trial_succeeds() {
+    // Guards against a cache that fails fast; its downloads go on at once, and it gets them back later.
+    let mut front = Front::open(profile());
+    let bad = home(&mut front, 1);
+    for n in 0..4 {
+        let dl = front.page(1);
+        let first = front.last_pull(dl);
+        assert_eq!(first.pull.node == bad, n < 3);
+        if n < 3 {
+            front.end(first, Ending::Error, Remark::Nothing);
+        }
+        let next = front.last_pull(dl);
+        assert_ne!(next.pull.node, bad);
+        front.end(next, Ending::Fulfilled, Remark::Hit);
+    }
+    front.wait(Span::millis(1_200));
+    assert_eq!(home(&mut front, 1), bad);
+    assert_eq!(home(&mut front, 1), bad);
+}
+
+#[test]
+fn a_silent_cache_loses_its_downloads_to_the_others() {
+    // Guards against caches that take downloads and answer none: nothing fails, yet nothing comes.
+    let mut front = Front::open(profile());
+    hits(&mut front, 0..40);
+    let silent = home(&mut front, 1);
+    let mut moved = 0;
+    for n in 0..150u64 {
+        let dl = front.arrive(PAGE, n % 40, 1, Span::millis(3_000));
+        if front.last_pull(dl).pull.node != silent {
+            front.end(front.last_pull(dl), Ending::Fulfilled, Remark::Hit);
+        }
+        front.wait(Span::millis(30));
+        for out in front.out() {
+            let cancelled = Order::Cancel { dl: DlIx(out.dl), pull: out.number };
+            if front.orders.contains(&cancelled) {
+                front.end(out, Ending::Cancelled, Remark::Nothing);
+                let next = front.last_pull(out.dl);
+                assert_ne!(next.pull.node, silent);
+                front.end(next, Ending::Fulfilled, Remark::Hit);
+                moved += 1;
+            }
+        }
+    }
+    assert!(moved > 0);
+}
+
+#[test]
+fn what_fails_behind_a_cache_is_not_held_against_it() {
+    // Guards against a slow or refusing source emptying the caches in front of it.
+    let mut front = Front::open(profile());
+    let cache = home(&mut front, 1);
+    for remark in [Remark::SourceLost, Remark::OriginFailed, Remark::SourceRefused, Remark::SourceLost] {
+        let dl = front.page(1);
+        front.end(front.last_pull(dl), Ending::Error, remark);
+        front.leave(dl);
+        front.out().into_iter().for_each(|o| front.end(o, Ending::Cancelled, Remark::Nothing));
+    }
+    assert_eq!(home(&mut front, 1), cache);
+}
+
+#[test]
+fn a_cache_with_no_place_for_a_fill_is_not_asked_again() {
+    // Guards against six pulls at one cache whose places for fills are all taken.
+    let mut front = Front::open(profile());
+    let dl = front.page(1);
+    let first = front.last_pull(dl);
+    front.end(first, Ending::Full, Remark::NoPlace);
+    assert_ne!(front.last_pull(dl).pull.node, first.pull.node);
+}
+
+#[test]
+fn a_lost_roster_is_watched_again() {
+    // Guards against the rules holding a router informed of what it no longer hears.
+    let mut service = profile();
+    service.roster_on_call = true;
+    let mut front = Front::open(service);
+    front.list(RosterNews::Failed, Vec::new());
+    assert_eq!(front.orders.iter().filter(|o| **o == Order::WatchRoster).count(), 2);
+}
+
+#[test]
+fn a_router_without_caches_answers_at_once() {
+    // Guards against downloads held until their clients leave when a fresh list names nobody.
+    let mut front = Front::open(profile());
+    front.list(RosterNews::Whole, Vec::new());
+    let dl = front.page(1);
+    assert!(front.throttled(dl));
+}
