A silent parent is set aside by its overdue fills, which go on elsewhere

A fill that is overdue now counts against its source by the odds that it was a fill; fast failures no longer call back pulls that may still be coming. It should also catch parents cut off without a reset. It may hurt where one hub's fills are slow for all: then its parents are set aside in turn and the origin is asked.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -99,24 +99,19 @@
                 let taken = self.take(&ask, post);
                 post.send(To::Desk, Note::Answer { dl: ask.pull.dl, node: ask.pull.node, taken });
             }
-            Note::AskFill { dl, odds, weight, proven } => {
-                let granted = self.grants(odds * weight, proven, now);
+            Note::AskFill { fill, proven } => {
+                let granted = self.grants(&fill, proven, now);
                 if granted {
-                    self.sent.add(now, odds * weight);
-                    self.fills.push((dl, now, odds, weight));
+                    self.sent.add(now, fill.charge);
+                    self.out.push(fill);
                 }
                 let node = self.listing.map_or(NodeIx(0), |l| l.node);
-                post.send(To::Desk, Note::FillAnswer { dl, node, granted });
+                post.send(To::Desk, Note::FillAnswer { dl: fill.dl, node, granted });
             }
-            Note::FillOver { dl, verdict, used } => {
-                let Some(at) = self.fills.iter().position(|f| f.0 == dl) else { return };
-                let (_, sent, odds, weight) = self.fills.swap_remove(at);
-                self.sent.weigh(sent, 0.0, if used { weight } else { 0.0 } - odds * weight);
-                self.done.add(now, if used { weight } else { 0.0 });
-                self.judge(verdict, 1.0, post);
-            }
-            Note::Over { dl, number, verdict, ratio, work } => {
-                self.out.retain(|o| (o.dl, o.number) != (dl, number));
+            Note::Over { dl, verdict, ratio, charge, work } => {
+                let Some(at) = self.out.iter().position(|o| o.dl == dl) else { return };
+                let out = self.out.swap_remove(at);
+                self.sent.weigh(out.sent, 0.0, charge.map_or(0.0, |c| c - out.charge));
                 self.done.add(now, work);
                 if let Some(ratio) = ratio {
                     self.gate.show(ratio, now);
@@ -145,7 +140,7 @@
 
     fn call_back(&self, post: &mut Post) {
         for out in &self.out {
-            post.send(To::Desk, Note::Overdue { dl: out.dl, number: out.number });
+            post.send(To::Desk, Note::Overdue { dl: out.dl });
         }
     }
 
@@ -171,26 +166,25 @@
         let trial = |until| now >= until && ask.trial && self.out.is_empty();
         let out = self.out.len() as f64 + 1.0;
         let fit = self.is_ready() && self.aside.is_none_or(trial) && out <= ask.bound;
-        if !fit || !self.bears(ask.weight, ask.proven, now) {
+        if !fit || !self.bears(ask.out.charge, ask.proven, now) {
             return false;
         }
         self.gate.used = out;
         if !self.gate.lets(0.0, ask.cheap, post.chance()) {
             return false;
         }
-        let (dl, number, overdue, sure) = (ask.pull.dl, ask.number, ask.overdue, ask.sure);
-        self.out.push(Out { dl, number, sent: now, overdue, sure, told: false });
-        self.sent.add(now, ask.weight);
+        self.out.push(ask.out);
+        self.sent.add(now, ask.out.charge);
         post.order(Order::Pull(ask.pull));
         true
     }
 
-    fn grants(&self, charge: f64, proven: f64, now: Moment) -> bool {
+    fn grants(&self, fill: &Out, proven: f64, now: Moment) -> bool {
         let origin = self.listing.is_some_and(|l| l.role == Role::Origin);
-        let trial = |until| now >= until && self.fills.is_empty();
-        let under_way = self.fills.iter().map(|f| f.2).sum::<f64>();
+        let trial = |until| now >= until && self.out.is_empty();
+        let under_way = self.out.iter().map(|f| f.odds).sum::<f64>();
         let fit = self.is_ready() && self.aside.is_none_or(trial) && (origin || under_way <= FILL_BOUND);
-        fit && (origin || self.bears(charge, proven, now))
+        fit && (origin || self.bears(fill.charge, proven, now))
     }
 
     /// (1) Guards against nodes that fail fast, fall silent or can't be reached, whatever the cause.
@@ -210,7 +204,6 @@
         if verdict == Verdict::Bad && (self.streak >= FAILURES_IN_A_ROW || self.aside.is_some()) {
             self.aside = Some(now + (ASIDE_FIRST * 2f64.powi(self.holds)).min(ASIDE_MOST));
             self.holds += 1;
-            self.call_back(post);
         }
     }
 
@@ -220,11 +213,14 @@
         for out in self.out.iter_mut().filter(|o| !o.told && now.since(o.sent) > o.overdue) {
             out.told = true;
             let counts = out.sent >= last_good || aside;
-            failures += if out.sure { 1.0 } else { DOUBTFUL_FAILURE } * f64::from(u8::from(counts));
+            failures += if counts { out.odds } else { 0.0 };
         }
         if failures > 0.0 {
             self.judge(Verdict::Bad, failures, post);
         }
+        if failures > 0.0 && self.aside.is_some() {
+            self.call_back(post);
+        }
         self.gate.used = self.out.len() as f64;
         self.gate.beat(now);
         let Some(listing) = self.listing else { return };
@@ -322,7 +318,7 @@
             Note::Answer { dl, node, taken } => self.answer(dl, node, taken, post),
             Note::Ended(end) => self.ended(end, post),
             Note::Left(dl) => self.close(dl, post),
-            Note::Overdue { dl, number } => self.overdue(dl, number, post),
+            Note::Overdue { dl } => self.overdue(dl, post),
             Note::Proven { node, rate } => self.proven[node.0 as usize] = rate,
             Note::Purged { object, group, at } => self.purges.hear(object, group, at),
             Note::Beat => {
@@ -417,8 +413,8 @@
         match home.or_else(origin) {
             Some(l) => {
                 let odds = if write { 1.0 } else { self.odds(held, post.now) };
-                let (weight, proven) = (self.weight(&held.what), self.like(&l));
-                post.send(To::Node(l.node), Note::AskFill { dl, odds, weight, proven });
+                let fill = self.out_of(dl, &held.what, odds, odds * self.weight(&held.what), post.now);
+                post.send(To::Node(l.node), Note::AskFill { fill, proven: self.like(&l) });
             }
             None => self.ask_cache(dl, None, post),
         }
@@ -432,6 +428,11 @@
         self.trades[what.content.0 as usize].sending
     }
 
+    fn out_of(&self, dl: DlIx, what: &Download, odds: f64, charge: f64, now: Moment) -> Out {
+        let overdue = Span::of_seconds(OVERDUE_MULTIPLE * self.weight(what)) + OVERDUE_LEAST;
+        Out { dl, sent: now, overdue, odds, charge, told: false }
+    }
+
     /// What the busiest like node was seen to carry of ours.
     fn like(&self, l: &Listing) -> f64 {
         let near = |o: &&Listing| o.zone == l.zone || l.role != Role::Cache;
@@ -493,13 +494,11 @@
             no_copy: parent && gap.is_some_and(|gap| gap >= self.ledger.parent_tau),
             renew: trade.content.fresh.is_some() && source.is_some(),
         };
-        let weight = self.weight(what);
+        let sure = self.believed(held, now) == Some(best.node);
+        let odds = if sure { 1.0 } else { DOUBTFUL_FAILURE };
         let ask = Ask {
             pull,
-            number: held.sent.len() as u8,
-            weight: trade.sending.max(weight),
-            overdue: Span::of_seconds(OVERDUE_MULTIPLE * weight) + OVERDUE_LEAST,
-            sure: self.believed(held, now) == Some(best.node),
+            out: self.out_of(dl, what, odds, trade.sending.max(self.weight(what)), now),
             cheap: trade.cheap,
             bound: (SPREAD * fair).max(SPREAD_LEAST),
             proven: self.like(&best),
@@ -563,7 +562,8 @@
         let longest = self.profile.longest_retry_after;
         let Some(Some(held)) = self.dls.get(dl.0 as usize) else { return };
         if let Some(source) = held.source {
-            post.send(To::Node(source), Note::FillOver { dl, verdict: Verdict::Unclear, used: false });
+            let (verdict, charge) = (Verdict::Unclear, Some(0.0));
+            post.send(To::Node(source), Note::Over { dl, verdict, ratio: None, charge, work: 0.0 });
         }
         let repeat = self.trades[held.what.content.0 as usize].content.repeat;
         let known = matches!(repeat, Repeat::Retriable | Repeat::Deduped { within: Circle::All, .. });
@@ -595,14 +595,14 @@
 
     /// (3) A pull on a node set aside or gone is called back, and goes on elsewhere once that is confirmed.
     /// Guards against silence. A non-retriable download waits on: nothing could follow its pull.
-    fn overdue(&mut self, dl: DlIx, number: u8, post: &mut Post) {
+    fn overdue(&mut self, dl: DlIx, post: &mut Post) {
         let Some(Some(held)) = self.dls.get_mut(dl.0 as usize) else { return };
         let repeat = self.trades[held.what.content.0 as usize].content.repeat;
-        let Some(sent) = held.sent.get_mut(number as usize) else { return };
-        let idle = sent.over || sent.called_back || held.answered;
-        if self.profile.may_cancel && !idle && repeat != Repeat::NonRetriable {
+        let may = self.profile.may_cancel && !held.answered && repeat != Repeat::NonRetriable;
+        let number = held.sent.len().saturating_sub(1);
+        if let Some(sent) = held.sent.last_mut().filter(|s| may && !s.over && !s.called_back) {
             sent.called_back = true;
-            post.order(Order::Cancel { dl, pull: number });
+            post.order(Order::Cancel { dl, pull: number as u8 });
         }
     }
 
@@ -663,16 +663,17 @@
         let target = trade.content.target;
         let ratio = hit.then(|| end.took.seconds() / weight.max(0.001));
         let work = if fulfilled { weight } else { 0.0 };
-        let (dl, number) = (end.dl, end.pull);
-        post.send(To::Node(was.node), Note::Over { dl, number, verdict, ratio, work });
+        let dl = end.dl;
+        post.send(To::Node(was.node), Note::Over { dl, verdict, ratio, charge: None, work });
         if let Some(source) = was.source {
             let verdict = match end.remark {
                 Remark::Filled | Remark::FromOrigin | Remark::OriginFailed => Verdict::Good,
                 Remark::SourceRefused | Remark::SourceLost => Verdict::Bad,
                 _ => Verdict::Unclear,
             };
-            let used = verdict != Verdict::Unclear;
-            post.send(To::Node(source), Note::FillOver { dl, verdict, used });
+            let work = if verdict == Verdict::Unclear { 0.0 } else { weight };
+            let charge = Some(work);
+            post.send(To::Node(source), Note::Over { dl, verdict, ratio: None, charge, work });
         }
         let filled = matches!(end.remark, Remark::Filled | Remark::FromOrigin);
         if filled || hit {
--- a/src/state.rs
+++ b/src/state.rs
@@ -173,10 +173,7 @@
 #[derive(Clone, Copy)]
 pub struct Ask {
     pub(crate) pull: Pull,
-    pub(crate) number: u8,
-    pub(crate) weight: f64,
-    pub(crate) overdue: Span,
-    pub(crate) sure: bool,
+    pub(crate) out: Out,
     pub(crate) cheap: f64,
     pub(crate) bound: f64,
     pub(crate) proven: f64,
@@ -204,9 +201,7 @@
         taken: bool,
     },
     AskFill {
-        dl: DlIx,
-        odds: f64,
-        weight: f64,
+        fill: Out,
         proven: f64,
     },
     FillAnswer {
@@ -214,21 +209,16 @@
         node: NodeIx,
         granted: bool,
     },
+    /// A pull or a fill is over; `charge` is what a fill turned out to weigh.
     Over {
         dl: DlIx,
-        number: u8,
         verdict: Verdict,
         ratio: Option<f64>,
+        charge: Option<f64>,
         work: f64,
     },
-    FillOver {
-        dl: DlIx,
-        verdict: Verdict,
-        used: bool,
-    },
     Overdue {
         dl: DlIx,
-        number: u8,
     },
     Proven {
         node: NodeIx,
@@ -308,13 +298,15 @@
     pub(crate) shown: Ring,
 }
 
-/// A pull under way at a node.
+/// A pull under way at a cache, or a fill that may be at its source.
+#[derive(Clone, Copy)]
 pub struct Out {
     pub(crate) dl: DlIx,
-    pub(crate) number: u8,
     pub(crate) sent: Moment,
     pub(crate) overdue: Span,
-    pub(crate) sure: bool,
+    /// How surely silence is this node's own doing.
+    pub(crate) odds: f64,
+    pub(crate) charge: f64,
     pub(crate) told: bool,
 }
 
@@ -324,8 +316,6 @@
     pub(crate) listing: Option<Listing>,
     pub(crate) cold: Cold,
     pub(crate) out: Vec<Out>,
-    /// When, how likely and how heavy: a fill is known only when its pull has ended.
-    pub(crate) fills: Vec<(DlIx, Moment, f64, f64)>,
     pub(crate) streak: f64,
     pub(crate) aside: Option<Moment>,
     pub(crate) holds: i32,
--- a/tests/troubles.rs
+++ b/tests/troubles.rs
@@ -142,3 +142,28 @@
     let dl = front.page(1);
     assert!(front.throttled(dl));
 }
+
+#[test]
+fn a_silent_parent_loses_its_fills_to_the_other() {
+    // Guards against fills waiting for a hung parent until their clients leave.
+    let mut front = Front::open(profile());
+    let mut moved = 0;
+    for n in 0..150 {
+        let dl = front.page(n);
+        let out = front.last_pull(dl);
+        if out.pull.source != Some(NodeIx(PARENTS[0])) {
+            front.end(out, Ending::Fulfilled, Remark::FromOrigin);
+        }
+        front.wait(Span::millis(30));
+        for out in front.out() {
+            if front.orders.contains(&Order::Cancel { dl: DlIx(out.dl), pull: out.number }) {
+                front.end(out, Ending::Cancelled, Remark::Nothing);
+                let next = front.last_pull(out.dl);
+                assert_eq!(next.pull.source, Some(NodeIx(PARENTS[1])));
+                front.end(next, Ending::Fulfilled, Remark::FromOrigin);
+                moved += 1;
+            }
+        }
+    }
+    assert!(moved > 0);
+}
