Gates judge slowness by each download's own target time

Cause: gates compared with mean sending times, which are lax for content types with tight targets and strict for others. Tried (cache / link / origin, share of the target time): 0.6/0.8/0.8, 0.5/0.55/0.8, 0.4/0.4/0.8, 0.5/0.4/0.8. The link's bound is the tighter since a fill that shares a full link delays all others on it.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -43,7 +43,7 @@
 const ROOM_LEAST: f64 = 3.0;
 const ROOM_CUT: f64 = 0.97;
 const ROOM_STEP: f64 = 0.5;
-const SLOW_RATIO: f64 = 2.5;
+const CACHE_SLOW: f64 = 0.5; // all three: part of the target time that may go by there
 const CHEAP_FROM: f64 = 0.75;
 const DEAR_FROM: f64 = 0.95;
 const SPREAD: f64 = 2.0;
@@ -53,8 +53,8 @@
 const PURGE_MARGIN: Span = Span::millis(5);
 // (6)
 const FILL_FAILURES: u32 = 2;
-const LINK_SLOW: f64 = 2.5;
-const ORIGIN_SLOW: f64 = 1.0;
+const LINK_SLOW: f64 = 0.4;
+const ORIGIN_SLOW: f64 = 0.8;
 // What a failure counts for beside the slow answers that it stands among.
 const FAILED_RATIO: f64 = 4.0;
 
@@ -127,7 +127,7 @@
         if anew || listing.phase == Phase::Gone {
             // What was seen of a process that is no more says nothing of the next one.
             (self.streak, self.aside, self.holds, self.last_good) = (0.0, None, 0, post.now);
-            self.gate = Gate::open(SLOW_RATIO);
+            self.gate = Gate::open(CACHE_SLOW);
             self.call_back(post);
         }
         if self.listing.is_none() {
@@ -198,7 +198,7 @@
                 (self.streak, self.aside, self.last_good) = (0.0, None, now);
             }
             Verdict::Bad => self.streak += failure,
-            Verdict::Full => self.gate.show(FAILED_RATIO, now),
+            Verdict::Full => self.gate.show(FAILED_RATIO * CACHE_SLOW, now),
             Verdict::Unclear => {}
         }
         if verdict == Verdict::Bad && (self.streak >= FAILURES_IN_A_ROW || self.aside.is_some()) {
@@ -660,8 +660,8 @@
             let sending = if told { weight } else { end.took.seconds() };
             trade.sending += 0.02 * (sending - trade.sending);
         }
-        let target = trade.content.target;
-        let ratio = hit.then(|| end.took.seconds() / weight.max(0.001));
+        let target = trade.content.target + Span::of_seconds(weight * trade.content.target_stretch);
+        let ratio = hit.then(|| end.took / target);
         let work = if fulfilled { weight } else { 0.0 };
         let dl = end.dl;
         post.send(To::Node(was.node), Note::Over { dl, verdict, ratio, charge: None, work });
@@ -681,7 +681,7 @@
         }
         if filled {
             self.odds[2].add(now, f64::from(u8::from(end.remark == Remark::FromOrigin)));
-            self.link.show((end.took.less(end.first_byte)).seconds() / weight.max(0.001), now);
+            self.link.show(end.took.less(end.first_byte) / target, now);
         }
         match end.remark {
             Remark::FromOrigin => self.origin.show(end.first_byte / target, now),
