Parts of a hot object get homes of their own; doubtful fills weigh in full on cold parents

An object that alone asks for half of a cache's part of the traffic now starts its parts in an order of their own, stable instead of flapping. Doubtful fills now weigh in full until their pull is over.

--- a/crates/benchlink/src/settings.rs
+++ b/crates/benchlink/src/settings.rs
@@ -148,6 +148,7 @@
         benefit: class.number_or("Worth", 1.0)?,
         late_share: class.number_or("LateValue", 0.0)?,
         write: by_class("ClassWrite")?.map_or(Ok(false), |at| at.flag())?,
+        in_parts: by_class("ClassParts")?.map_or(Ok(false), |at| at.flag())?,
         fresh: (fresh > Span::ZERO).then_some(fresh),
         grace: span_of("GraceFor")?,
         aged_share: by_class("WorthWhenOld")?.map_or(Ok(1.0), |at| at.number())?,
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -24,6 +24,7 @@
 const TABLE_CAP: f64 = 1.2;
 const FIRST_RANK: u8 = 1;
 const LATER_RANK: u8 = 2;
+const HOT: f64 = 0.5; // of a cache's part of the traffic; an object in parts that asks for more is spread
 const FILL_BOUND: f64 = 16.0; // fills to be expected among our pulls
 
 // (1) Three in a row are hardly chance at the rate of errors of a sound cache.
@@ -76,12 +77,7 @@
             while let Some((to, note)) = self.post.next() {
                 match to {
                     To::Desk => self.desk.read(note, &mut self.post),
-                    To::Node(NodeIx(at)) => {
-                        if self.nodes.len() <= at as usize {
-                            self.nodes.resize_with(at as usize + 1, Node::default);
-                        }
-                        self.nodes[at as usize].read(note, &mut self.post);
-                    }
+                    To::Node(node) => node_at(&mut self.nodes, node).read(note, &mut self.post),
                 }
             }
         }
@@ -149,23 +145,17 @@
     fn bears(&self, charge: f64, proven: f64, now: Moment) -> bool {
         let Some(started) = self.listing.and_then(|l| l.started) else { return true };
         let (cold, age) = (&self.cold, now.since(started));
-        if age >= cold.lasts {
-            return true;
-        }
         let part = cold.from + (1.0 - cold.from) * (age / cold.lasts);
         let carries = part * proven.max(cold.floor) * cold.window.seconds();
-        self.sent.sum(now) + charge <= COLD_MARGIN * cold.multiple * carries
-    }
-
-    fn is_ready(&self) -> bool {
-        self.listing.is_some_and(|l| l.phase == Phase::Ready)
+        age >= cold.lasts || self.sent.sum(now) + charge <= COLD_MARGIN * cold.multiple * carries
     }
 
     fn take(&mut self, ask: &Ask, post: &mut Post) -> bool {
         let now = post.now;
         let trial = |until| now >= until && ask.trial && self.out.is_empty();
         let out = self.out.len() as f64 + 1.0;
-        let fit = self.is_ready() && self.aside.is_none_or(trial) && out <= ask.bound;
+        let fit =
+            self.listing.is_some_and(Listing::ready) && self.aside.is_none_or(trial) && out <= ask.bound;
         if !fit || !self.bears(ask.out.charge, ask.proven, now) {
             return false;
         }
@@ -183,7 +173,8 @@
         let origin = self.listing.is_some_and(|l| l.role == Role::Origin);
         let trial = |until| now >= until && self.out.is_empty();
         let under_way = self.out.iter().map(|f| f.odds).sum::<f64>();
-        let fit = self.is_ready() && self.aside.is_none_or(trial) && (origin || under_way <= FILL_BOUND);
+        let ready = self.listing.is_some_and(Listing::ready) && self.aside.is_none_or(trial);
+        let fit = ready && (origin || under_way <= FILL_BOUND);
         fit && (origin || self.bears(fill.charge, proven, now))
     }
 
@@ -271,10 +262,6 @@
     }
 }
 
-fn sample(tau: &mut Span, seen: Span) {
-    *tau = *tau * (1.0 - TAU_WEIGHT) + seen * TAU_WEIGHT;
-}
-
 impl Desk {
     fn open(profile: ServiceProfile) -> Desk {
         // Cheap is what earns little for the sending that it takes; targets stand in for sizes not yet seen.
@@ -287,7 +274,8 @@
         let trades = profile.contents.iter().map(trade).collect();
         let edge_tau = EDGE_TAU_START * Self::zone_routers(&profile);
         let parent_tau = PARENT_TAU_START * f64::from(profile.routers.max(1));
-        let ledger = Ledger { edge_tau, parent_tau, ..Ledger::default() };
+        let traffic = Ring::new(Span::millis(1_000), 4);
+        let ledger = Ledger { edge_tau, parent_tau, traffic, ..Ledger::default() };
         let (roster, proven, out, dls) = Default::default();
         let odds = [(); 3].map(|()| Ring::new(Span::millis(500), 8));
         let (link, origin, purges) = (Gate::open(LINK_SLOW), Gate::open(ORIGIN_SLOW), Purges::default());
@@ -306,6 +294,8 @@
             Note::Listed(listing, _) => self.list(listing, post),
             Note::Arrived(dl, what) => {
                 let line = self.ledger.enter((what.object, what.part), what.repeat, now);
+                let heat = Ring::new(Span::millis(1_000), 4);
+                self.ledger.warm(&what, self.weight(&what), heat, now);
                 self.hold(dl, Dl::new(what, line));
                 self.pass_gates(dl, post);
             }
@@ -332,6 +322,13 @@
         }
     }
 
+    fn is_hot(&self, what: &Download, now: Moment) -> bool {
+        let content = &self.trades[what.content.0 as usize].content;
+        let heat = self.ledger.heat.get(&what.object).filter(|_| content.in_parts);
+        heat.map_or(0.0, |ring| ring.sum(now)) * self.own_caches().count() as f64
+            > HOT * self.ledger.traffic.sum(now).max(HOT)
+    }
+
     fn list(&mut self, listing: Listing, post: &mut Post) {
         let p = &self.profile;
         let links = p.zone_link_kb_per_s.iter().filter(|l| **l > 0.0);
@@ -348,7 +345,7 @@
     }
 
     fn ready(&self, role: Role) -> impl Iterator<Item = &Listing> {
-        self.roster.iter().flatten().filter(move |l| l.role == role && l.phase == Phase::Ready)
+        self.roster.iter().flatten().filter(move |l| l.role == role && l.ready())
     }
 
     fn own_caches(&self) -> impl Iterator<Item = &Listing> {
@@ -372,7 +369,8 @@
         let Some(Some(held)) = self.dls.get(dl.0 as usize) else { return };
         let trade = &self.trades[held.what.content.0 as usize];
         let (cheap, write, failures) = (trade.cheap, trade.content.write, held.fill_failures);
-        let odds = self.odds(held, post.now);
+        let sure = self.believed(held, post.now).is_some();
+        let odds = self.chance_of(usize::from(sure), post.now);
         let fills = self.link.lets(odds, cheap, post.chance());
         let reaches = odds * self.chance_of(2, post.now);
         let fetches = fills && self.origin.lets(reaches, cheap, post.chance());
@@ -396,11 +394,6 @@
         (self.odds[which].sum(now) + 1.0) / (self.odds[which].count(now) + 2.0)
     }
 
-    /// How likely a pull needs a fill: by what became of those whose copy was believed kept, or was not.
-    fn odds(&self, held: &Dl, now: Moment) -> f64 {
-        self.chance_of(usize::from(self.believed(held, now).is_some()), now)
-    }
-
     /// A way starts with its source: the object's home among all parents, then the origin. What runs at the
     /// origin goes there without a parent, which would keep nothing of it.
     fn ask_source(&mut self, dl: DlIx, post: &mut Post) {
@@ -412,8 +405,11 @@
         let origin = || self.ready(Role::Origin).find(|l| open(l) && !held.only_held).copied();
         match home.or_else(origin) {
             Some(l) => {
-                let odds = if write { 1.0 } else { self.odds(held, post.now) };
-                let fill = self.out_of(dl, &held.what, odds, odds * self.weight(&held.what), post.now);
+                let sure = self.believed(held, post.now).is_some();
+                let odds = if write { 1.0 } else { self.chance_of(usize::from(sure), post.now) };
+                // What is not surely a hit weighs in full until it is over: odds lag behind a rush of misses.
+                let charge = self.weight(&held.what) * if sure { odds } else { 1.0 };
+                let fill = self.out_of(dl, &held.what, odds, charge, post.now);
                 post.send(To::Node(l.node), Note::AskFill { fill, proven: self.like(&l) });
             }
             None => self.ask_cache(dl, None, post),
@@ -456,7 +452,8 @@
     }
 
     /// The object's home among the own zone's ready caches. Where that one is set aside, cold or has too many
-    /// of our pulls for its part, each part goes on in an order of its own, so that a hot object spreads.
+    /// of our pulls for its part, each part goes on in an order of its own. A hot object's parts start with
+    /// that order, since one cache can't send what a crowd wants of one object.
     fn ask_cache(&mut self, dl: DlIx, source: Option<NodeIx>, post: &mut Post) {
         let now = post.now;
         let Some(Some(held)) = self.dls.get_mut(dl.0 as usize) else { return };
@@ -465,7 +462,8 @@
         let (what, gap) = (&held.what, held.line.gap);
         let trade = &self.trades[what.content.0 as usize];
         let open = |l: &Listing| !held.declined.contains(&l.node) && !held.failed.contains(&l.node);
-        let home = self.first(self.own_caches(), (what.object.0, 0)).filter(open);
+        let hot = self.is_hot(what, now);
+        let home = self.first(self.own_caches(), (what.object.0, 0)).filter(|l| open(l) && !hot);
         let others = self.own_caches().filter(|l| open(l));
         let next = || self.first(others, (what.object.0, u64::from(what.part) + 1));
         let Some(best) = home.or_else(next) else { return self.give_up(dl, post) };
@@ -705,10 +703,10 @@
         let kept = line.gap.is_none_or(|gap| gap < self.ledger.edge_tau);
         let left = line.gap.is_none_or(|gap| gap < self.ledger.parent_tau);
         if let Some(gap) = line.gap.filter(|_| evicted) {
-            sample(&mut self.ledger.edge_tau, gap);
+            self.ledger.edge_tau = self.ledger.edge_tau * (1.0 - TAU_WEIGHT) + gap * TAU_WEIGHT;
         }
         if let Some(gap) = line.gap.filter(|_| at_origin && given.is_some()) {
-            sample(&mut self.ledger.parent_tau, gap);
+            self.ledger.parent_tau = self.ledger.parent_tau * (1.0 - TAU_WEIGHT) + gap * TAU_WEIGHT;
         }
         let Some(entry) = self.ledger.lines.get_mut(&(what.object, what.part)) else { return };
         entry.edge = kept.then_some((was.node, now));
--- a/src/door.rs
+++ b/src/door.rs
@@ -52,6 +52,8 @@
     pub benefit: f64,
     pub late_share: f64,
     pub write: bool,
+    /// Objects have several parts, asked for one after another.
+    pub in_parts: bool,
     /// None: a copy is good until it is purged.
     pub fresh: Option<Span>,
     pub grace: Span,
--- a/src/state.rs
+++ b/src/state.rs
@@ -72,6 +72,12 @@
     Failed,
 }
 
+impl Listing {
+    pub(crate) fn ready(self) -> bool {
+        self.phase == Phase::Ready
+    }
+}
+
 /// How a pull ended.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub enum Ending {
@@ -329,14 +335,24 @@
 #[derive(Default)]
 pub struct Ledger {
     pub(crate) lines: HashMap<(ObjectKey, u32), Line>,
+    /// Sending asked for lately, of each object in parts and of all.
+    pub(crate) heat: HashMap<ObjectKey, Ring>,
+    pub(crate) traffic: Ring,
     pub(crate) by_age: VecDeque<(Moment, (ObjectKey, u32))>,
     pub(crate) edge_tau: Span,
     pub(crate) parent_tau: Span,
 }
 
 impl Ledger {
+    /// Enters sending asked for; `fresh` is the ring of an object not heard of lately.
+    pub(crate) fn warm(&mut self, what: &Download, weight: f64, fresh: Ring, now: Moment) {
+        self.traffic.add(now, weight);
+        self.heat.entry(what.object).or_insert(fresh).add(now, weight);
+    }
+
     /// Drops what was last asked for longer ago than `expiry`.
     pub(crate) fn tidy(&mut self, now: Moment, expiry: Span) {
+        self.heat.retain(|_, ring| ring.count(now) > 0.0);
         while let Some((at, key)) = self.by_age.front().copied().filter(|(at, _)| now.since(*at) > expiry) {
             self.by_age.pop_front();
             if self.lines.get(&key).is_some_and(|l| l.last <= at) {
@@ -480,3 +496,12 @@
         self.roster[at] = Some(listing);
     }
 }
+
+/// The actor of a node, which is made when the first note for it comes.
+pub(crate) fn node_at(nodes: &mut Vec<Node>, node: NodeIx) -> &mut Node {
+    let at = node.0 as usize;
+    if nodes.len() <= at {
+        nodes.resize_with(at + 1, Node::default);
+    }
+    &mut nodes[at]
+}
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -22,6 +22,7 @@
         benefit,
         late_share: 0.2,
         write: repeat == Repeat::NonRetriable,
+        in_parts: false,
         fresh: None,
         grace: Span::ZERO,
         aged_share: 0.7,
