Odds count misses that failed or were only looked for; no second try at a failed origin

It may hurt where one origin failure in many is chance: that download then gets what is held or is throttled.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -323,8 +323,8 @@
     }
 
     fn is_hot(&self, what: &Download, now: Moment) -> bool {
-        let content = &self.trades[what.content.0 as usize].content;
-        let heat = self.ledger.heat.get(&what.object).filter(|_| content.in_parts);
+        let parts = self.trades[what.content.0 as usize].content.in_parts;
+        let heat = self.ledger.heat.get(&what.object).filter(|_| parts);
         heat.map_or(0.0, |ring| ring.sum(now)) * self.own_caches().count() as f64
             > HOT * self.ledger.traffic.sum(now).max(HOT)
     }
@@ -446,8 +446,7 @@
 
     /// A restart or a purge since then voids a copy; its miss says nothing of evictions.
     fn still(&self, node: NodeIx, since: Moment, what: &Download) -> bool {
-        let listing = self.roster[node.0 as usize];
-        let same = listing.is_some_and(|l| l.started.is_none_or(|s| s <= since));
+        let same = self.roster[node.0 as usize].is_some_and(|l| l.started.is_none_or(|s| s <= since));
         same && self.purges.last_of(what).is_none_or(|p| p < since)
     }
 
@@ -514,8 +513,7 @@
     fn oldest(&self, what: &Download, troubled: bool, now: Moment) -> Span {
         let content = &self.trades[what.content.0 as usize].content;
         let usual = content.fresh.map(|fresh| if troubled { fresh + content.grace } else { fresh });
-        let purged = self.purges.last_of(what);
-        let since = purged.map(|at| now.since(at + PURGE_MARGIN).max(Span::micros(1)));
+        let since = self.purges.last_of(what).map(|at| now.since(at + PURGE_MARGIN).max(Span::micros(1)));
         usual.into_iter().chain(since).min().unwrap_or(Span::ZERO)
     }
 
@@ -623,7 +621,8 @@
             return;
         }
         if behind(&end) {
-            held.fill_failures += 1;
+            // Another parent may do better than one that failed, but not than the origin behind them all.
+            held.fill_failures += if end.remark == Remark::OriginFailed { FILL_FAILURES } else { 1 };
         } else if verdict != Verdict::Good || end.remark == Remark::NoPlace {
             held.failed.push(was.node);
         }
@@ -674,11 +673,15 @@
             post.send(To::Node(source), Note::Over { dl, verdict, ratio: None, charge, work });
         }
         let filled = matches!(end.remark, Remark::Filled | Remark::FromOrigin);
-        if filled || hit {
-            self.odds[usize::from(sure)].add(now, f64::from(u8::from(filled)));
+        // What failed on its way or was only looked for tells of misses as much as what was filled.
+        let lacked = filled || behind(end) || end.ending == Ending::Missed;
+        if lacked || hit {
+            self.odds[usize::from(sure)].add(now, f64::from(u8::from(lacked)));
+        }
+        if filled || matches!(end.remark, Remark::OriginFailed | Remark::SourceLacks) {
+            self.odds[2].add(now, f64::from(u8::from(end.remark != Remark::Filled)));
         }
         if filled {
-            self.odds[2].add(now, f64::from(u8::from(end.remark == Remark::FromOrigin)));
             self.link.show(end.took.less(end.first_byte) / target, now);
         }
         match end.remark {
