--- a/tests/troubles.rs
+++ b/tests/troubles.rs
@@ -39,13 +39,19 @@
     let mut front = Front::open(profile());
     let mut waiting = Vec::new();
     for n in 0..600 {
-        waiting.push(front.arrive(PAGE, n, 0, Span::millis(2_000)));
+        let dl = front.arrive(PAGE, n, 0, Span::millis(2_000));
         front.wait(TICK);
-        while waiting.len() > 60 {
-            let dl = waiting.remove(0);
-            if front.held.contains_key(&dl) && !front.throttled(dl) {
-                front.end(front.last_pull(dl), Ending::Error, Remark::OriginFailed);
-            }
+        let out = front.out().into_iter().find(|o| o.dl == dl);
+        match out {
+            Some(out) if out.pull.only_held => front.end(out, Ending::Missed, Remark::SourceLacks),
+            Some(out) => waiting.push(out),
+            None => {}
+        }
+        if waiting.len() > 40 {
+            let out = waiting.remove(0);
+            front.end(out, Ending::Error, Remark::OriginFailed);
+            let again = front.out().into_iter().find(|o| o.dl == out.dl);
+            again.into_iter().for_each(|o| front.end(o, Ending::Missed, Remark::Nothing));
         }
     }
     let held_only = |o: &&Order| matches!(o, Order::Pull(p) if p.only_held && p.source.is_some());
