Cheapness by benefit for the sending learnt, not for the target time

Cause: by target times all content types looked about equally dear, so that pages were turned away where only videos could free a link. It may hurt where the dear content type is the one that jams; then its own gates still narrow.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -264,13 +264,8 @@
 
 impl Desk {
     fn open(profile: ServiceProfile) -> Desk {
-        // Cheap is what earns little for the sending that it takes; targets stand in for sizes not yet seen.
-        let earns = |c: &Content| c.benefit / c.target.seconds().max(0.001);
-        let dearest = profile.contents.iter().map(earns).fold(0.001, f64::max);
-        let trade = |c: &Content| {
-            let (sending, cheap) = (c.target.seconds() * 0.5, 1.0 - earns(c) / dearest);
-            Trade { content: c.clone(), sending, cheap }
-        };
+        // Targets stand in for sizes not yet seen.
+        let trade = |c: &Content| Trade { content: c.clone(), sending: c.target.seconds() * 0.5 };
         let trades = profile.contents.iter().map(trade).collect();
         let edge_tau = EDGE_TAU_START * Self::zone_routers(&profile);
         let parent_tau = PARENT_TAU_START * f64::from(profile.routers.max(1));
@@ -368,7 +363,8 @@
     fn pass_gates(&mut self, dl: DlIx, post: &mut Post) {
         let Some(Some(held)) = self.dls.get(dl.0 as usize) else { return };
         let trade = &self.trades[held.what.content.0 as usize];
-        let (cheap, write, failures) = (trade.cheap, trade.content.write, held.fill_failures);
+        let (write, failures) = (trade.content.write, held.fill_failures);
+        let cheap = self.cheap(held.what.content);
         let sure = self.believed(held, post.now).is_some();
         let odds = self.chance_of(usize::from(sure), post.now);
         let fills = self.link.lets(odds, cheap, post.chance());
@@ -416,6 +412,13 @@
         }
     }
 
+    /// Cheap, up to 1, is what earns little for the sending that it takes, next to the dearest content type.
+    fn cheap(&self, content: ContentIx) -> f64 {
+        let earns = |t: &Trade| t.content.benefit / t.sending.max(0.001);
+        let dearest = self.trades.iter().map(earns).fold(0.001, f64::max);
+        1.0 - earns(&self.trades[content.0 as usize]) / dearest
+    }
+
     /// Seconds of sending that a download is taken to need.
     fn weight(&self, what: &Download) -> f64 {
         if what.kilobytes > 0.0 && self.profile.flow_kb_per_s > 0.0 {
@@ -496,7 +499,7 @@
         let ask = Ask {
             pull,
             out: self.out_of(dl, what, odds, trade.sending.max(self.weight(what)), now),
-            cheap: trade.cheap,
+            cheap: self.cheap(what.content),
             bound: (SPREAD * fair).max(SPREAD_LEAST),
             proven: self.like(&best),
             trial: trade.content.repeat == Repeat::Retriable,
--- a/src/state.rs
+++ b/src/state.rs
@@ -157,8 +157,6 @@
     pub(crate) content: Content,
     /// Mean seconds that a warm, idle cache takes to send one.
     pub(crate) sending: f64,
-    /// Cheapness among the content types: 0 for the one that earns most for its sending time, up to 1.
-    pub(crate) cheap: f64,
 }
 
 #[derive(Clone, Copy, PartialEq, Eq)]
