Waits that end unseen narrow the origin's gate, aged copies serve while it is slow

Told from a hung cache by hits that went on, from a hung parent by fills from its copies. It should also catch an origin that is cut off. It may hurt while a silent cache has not been set aside yet: its waits narrow the origin's gate for a second or two.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -45,7 +45,7 @@
 const ROOM_CUT: f64 = 0.97;
 const ROOM_STEP: f64 = 0.5;
 const CACHE_SLOW: f64 = 0.5; // all three: part of the target time that may go by there
-const CHEAP_FROM: f64 = 0.75;
+const CHEAP_FROM: f64 = 0.5;
 const DEAR_FROM: f64 = 0.95;
 const SPREAD: f64 = 2.0;
 const SPREAD_LEAST: f64 = 8.0;
@@ -156,11 +156,9 @@
         let out = self.out.len() as f64 + 1.0;
         let fit =
             self.listing.is_some_and(Listing::ready) && self.aside.is_none_or(trial) && out <= ask.bound;
-        if !fit || !self.bears(ask.out.charge, ask.proven, now) {
-            return false;
-        }
         self.gate.used = out;
-        if !self.gate.lets(0.0, ask.cheap, post.chance()) {
+        let fit = fit && self.bears(ask.out.charge, ask.proven, now);
+        if !fit || !self.gate.lets(0.0, ask.cheap, post.chance()) {
             return false;
         }
         self.out.push(ask.out);
@@ -173,9 +171,8 @@
         let origin = self.listing.is_some_and(|l| l.role == Role::Origin);
         let trial = |until| now >= until && self.out.is_empty();
         let under_way = self.out.iter().map(|f| f.odds).sum::<f64>();
-        let ready = self.listing.is_some_and(Listing::ready) && self.aside.is_none_or(trial);
-        let fit = ready && (origin || under_way <= FILL_BOUND);
-        fit && (origin || self.bears(fill.charge, proven, now))
+        let bears = under_way <= FILL_BOUND && self.bears(fill.charge, proven, now);
+        self.listing.is_some_and(Listing::ready) && self.aside.is_none_or(trial) && (origin || bears)
     }
 
     /// (1) Guards against nodes that fail fast, fall silent or can't be reached, whatever the cause.
@@ -238,11 +235,15 @@
         self.shown.add(now, ratio.min(FAILED_RATIO * self.slow));
     }
 
+    fn is_slow(&self, now: Moment) -> bool {
+        self.shown.mean(now).is_some_and(|ratio| ratio > self.slow)
+    }
+
     fn beat(&mut self, now: Moment) {
-        match self.shown.mean(now) {
-            Some(ratio) if ratio > self.slow => self.room = (self.room * ROOM_CUT).max(ROOM_LEAST),
-            Some(_) if self.used > self.room * 0.7 => self.room += ROOM_STEP,
-            _ => {}
+        if self.is_slow(now) {
+            self.room = (self.room * ROOM_CUT).max(ROOM_LEAST);
+        } else if self.used > self.room * 0.7 && self.shown.count(now) > 0.0 {
+            self.room += ROOM_STEP;
         }
     }
 }
@@ -339,10 +340,6 @@
         post.send(To::Node(listing.node), Note::Listed(listing, cold));
     }
 
-    fn ready(&self, role: Role) -> impl Iterator<Item = &Listing> {
-        self.roster.iter().flatten().filter(move |l| l.role == role && l.ready())
-    }
-
     fn own_caches(&self) -> impl Iterator<Item = &Listing> {
         self.ready(Role::Cache).filter(|l| l.zone == self.profile.zone)
     }
@@ -364,7 +361,9 @@
         let Some(Some(held)) = self.dls.get(dl.0 as usize) else { return };
         let trade = &self.trades[held.what.content.0 as usize];
         let (write, failures) = (trade.content.write, held.fill_failures);
-        let cheap = self.cheap(held.what.content);
+        // A fill that leaves no copy serves one download only.
+        let unkept = held.line.gap.is_some_and(|gap| gap >= self.ledger.edge_tau);
+        let cheap = self.cheap(held.what.content).max(f64::from(u8::from(unkept)));
         let sure = self.believed(held, post.now).is_some();
         let odds = self.chance_of(usize::from(sure), post.now);
         let fills = self.link.lets(odds, cheap, post.chance());
@@ -476,7 +475,7 @@
         let scales = self.own_caches().map(|l| self.scale(l)).sum::<f64>();
         let fair = (out + 1) as f64 * self.scale(&best) / scales.max(0.01);
         let parent = source.is_some_and(|s| self.is_parent(s));
-        let troubled = held.fill_failures > 0 || held.only_held;
+        let troubled = held.fill_failures > 0 || held.only_held || self.origin.is_slow(now);
         let pull = Pull {
             dl,
             node: best.node,
@@ -507,10 +506,6 @@
         post.send(To::Node(best.node), Note::Ask(ask));
     }
 
-    fn is_parent(&self, node: NodeIx) -> bool {
-        self.roster[node.0 as usize].is_some_and(|l| l.role == Role::Parent)
-    }
-
     /// (5) The oldest copy that will do: none from before a purge that this router was told of. (6) While
     /// what is behind the caches fails, an aged copy now is of more benefit than a fresh one too late.
     fn oldest(&self, what: &Download, troubled: bool, now: Moment) -> Span {
@@ -643,8 +638,7 @@
     fn tell_nodes(&mut self, end: &PullEnd, was: &Sent, post: &mut Post) -> Verdict {
         let now = post.now;
         let Some(Some(held)) = self.dls.get(end.dl.0 as usize) else { return Verdict::Unclear };
-        let fulfilled = end.ending == Ending::Fulfilled;
-        let sure = self.believed(held, now) == Some(was.node);
+        let (fulfilled, sure) = (end.ending == Ending::Fulfilled, self.believed(held, now) == Some(was.node));
         let verdict = match end.ending {
             Ending::Fulfilled | Ending::Missed => Verdict::Good,
             Ending::Cancelled | Ending::NotSent => Verdict::Unclear,
@@ -672,8 +666,7 @@
                 _ => Verdict::Unclear,
             };
             let work = if verdict == Verdict::Unclear { 0.0 } else { weight };
-            let charge = Some(work);
-            post.send(To::Node(source), Note::Over { dl, verdict, ratio: None, charge, work });
+            post.send(To::Node(source), Note::Over { dl, verdict, ratio: None, charge: Some(work), work });
         }
         let filled = matches!(end.remark, Remark::Filled | Remark::FromOrigin);
         // What failed on its way or was only looked for tells of misses as much as what was filled.
@@ -691,6 +684,8 @@
             Remark::FromOrigin => self.origin.show(end.first_byte / target, now),
             Remark::OriginFailed | Remark::SourceLost => self.origin.show(FAILED_RATIO * ORIGIN_SLOW, now),
             Remark::NoPlace => self.link.show(FAILED_RATIO * LINK_SLOW, now),
+            // A stuck origin shows nothing but waits that nobody saw end.
+            _ if !fulfilled && !sure && end.took > target => self.origin.show(end.took / target, now),
             _ => {}
         }
         verdict
--- a/src/state.rs
+++ b/src/state.rs
@@ -484,6 +484,14 @@
         self.dls[at] = Some(held);
     }
 
+    pub(crate) fn is_parent(&self, node: NodeIx) -> bool {
+        self.roster[node.0 as usize].is_some_and(|l| l.role == Role::Parent)
+    }
+
+    pub(crate) fn ready(&self, role: Role) -> impl Iterator<Item = &Listing> {
+        self.roster.iter().flatten().filter(move |l| l.role == role && l.ready())
+    }
+
     pub(crate) fn enter(&mut self, listing: Listing) {
         let at = listing.node.0 as usize;
         if self.roster.len() <= at {
--- a/tests/troubles.rs
+++ b/tests/troubles.rs
@@ -173,3 +173,50 @@
     }
     assert!(moved > 0);
 }
+
+#[test]
+fn waits_that_nobody_saw_end_hold_back_further_fills() {
+    // Guards against a stuck origin: it answers nothing, so that no slow answer ever shows.
+    let mut front = Front::open(profile());
+    let mut looked = 0;
+    for n in 0..300 {
+        let dl = front.arrive(PAGE, n, 0, Span::millis(900));
+        let out = front.last_pull(dl);
+        looked += usize::from(front.throttled(dl) || out.pull.only_held);
+        if n % 4 == 0 && front.held.contains_key(&dl) {
+            // The parents are sound, and give what they hold.
+            front.end(out, Ending::Fulfilled, Remark::Filled);
+        }
+        for out in front.out().into_iter().filter(|o| o.pull.only_held || o.pull.source.is_none()) {
+            front.end(out, Ending::Missed, Remark::SourceLacks);
+        }
+        front.wait(Span::millis(20));
+        for out in front.out() {
+            if front.orders.contains(&Order::Cancel { dl: DlIx(out.dl), pull: out.number }) {
+                front.end(out, Ending::Cancelled, Remark::Nothing);
+            }
+        }
+    }
+    assert!(looked > 30, "{looked} of 300 were only looked for");
+}
+
+#[test]
+fn parts_of_a_hot_object_get_homes_of_their_own_and_keep_them() {
+    // Guards against one cache sending all that a crowd wants of one object.
+    let mut service = profile();
+    service.contents[PAGE as usize].in_parts = true;
+    let mut front = Front::open(service);
+    let mut homes = std::collections::BTreeMap::new();
+    for n in 0..200u64 {
+        let part = n as u32 % 8;
+        let dl = front.arrive(PAGE, 3, part, Span::millis(3_000));
+        let out = front.last_pull(dl);
+        front.end(out, Ending::Fulfilled, Remark::Hit);
+        front.wait(TICK);
+        if n >= 100 {
+            assert_eq!(*homes.entry(part).or_insert(out.pull.node), out.pull.node);
+        }
+    }
+    let spread: std::collections::BTreeSet<_> = homes.values().collect();
+    assert!(spread.len() >= 3);
+}
