Hot objects spread over as many caches as their sending needs, in parts or not

Heat is now read off seconds of sending done, told or not; what comes in one part goes to one of its caches by chance, its home among them. Time-outs that nobody saw end now count among the odds of the origin; a test showed that its gate stayed open when parents answered and the origin hung.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -24,7 +24,7 @@
 const TABLE_CAP: f64 = 1.2;
 const FIRST_RANK: u8 = 1;
 const LATER_RANK: u8 = 2;
-const HOT: f64 = 0.5; // of a cache's part of the traffic; an object in parts that asks for more is spread
+const HOT: f64 = 0.5; // of a cache's part of the sending; an object that takes more is spread
 const FILL_BOUND: f64 = 16.0; // fills to be expected among our pulls
 
 // (1) Three in a row are hardly chance at the rate of errors of a sound cache.
@@ -290,16 +290,17 @@
             Note::Listed(listing, _) => self.list(listing, post),
             Note::Arrived(dl, what) => {
                 let line = self.ledger.enter((what.object, what.part), what.repeat, now);
-                let heat = Ring::new(Span::millis(1_000), 4);
-                self.ledger.warm(&what, self.weight(&what), heat, now);
                 self.hold(dl, Dl::new(what, line));
                 self.pass_gates(dl, post);
             }
-            Note::FillAnswer { dl, node, granted: true } => self.ask_cache(dl, Some(node), post),
-            Note::FillAnswer { dl, node, .. } => {
+            Note::FillAnswer { dl, node, granted } => {
                 let Some(Some(held)) = self.dls.get_mut(dl.0 as usize) else { return };
-                held.declined.push(node);
-                self.ask_source(dl, post);
+                if !granted {
+                    held.declined.push(node);
+                    return self.ask_source(dl, post);
+                }
+                held.source = Some(node);
+                self.ask_cache(dl, post);
             }
             Note::Answer { dl, node, taken } => self.answer(dl, node, taken, post),
             Note::Ended(end) => self.ended(end, post),
@@ -318,11 +319,11 @@
         }
     }
 
-    fn is_hot(&self, what: &Download, now: Moment) -> bool {
-        let parts = self.trades[what.content.0 as usize].content.in_parts;
-        let heat = self.ledger.heat.get(&what.object).filter(|_| parts);
-        heat.map_or(0.0, |ring| ring.sum(now)) * self.own_caches().count() as f64
-            > HOT * self.ledger.traffic.sum(now).max(HOT)
+    /// How many caches it takes to send what is asked of an object: one, unless a crowd wants it.
+    fn spread(&self, what: &Download, now: Moment) -> f64 {
+        let heat = self.ledger.heat.get(&what.object).map_or(0.0, |ring| ring.sum(now));
+        let caches = self.own_caches().count() as f64;
+        (heat * caches / HOT / self.ledger.traffic.sum(now).max(1.0)).ceil().min(caches)
     }
 
     fn list(&mut self, listing: Listing, post: &mut Post) {
@@ -376,13 +377,7 @@
         if write || fills && failures < FILL_FAILURES {
             return self.ask_source(dl, post);
         }
-        self.ask_cache(dl, None, post);
-    }
-
-    fn leave_gates(&mut self, dl: DlIx) {
-        let Some(Some(held)) = self.dls.get_mut(dl.0 as usize) else { return };
-        self.link.used -= std::mem::take(&mut held.on_link);
-        self.origin.used -= std::mem::take(&mut held.at_origin);
+        self.ask_cache(dl, post);
     }
 
     fn chance_of(&self, which: usize, now: Moment) -> f64 {
@@ -407,7 +402,7 @@
                 let fill = self.out_of(dl, &held.what, odds, charge, post.now);
                 post.send(To::Node(l.node), Note::AskFill { fill, proven: self.like(&l) });
             }
-            None => self.ask_cache(dl, None, post),
+            None => self.ask_cache(dl, post),
         }
     }
 
@@ -455,16 +450,17 @@
     /// The object's home among the own zone's ready caches. Where that one is set aside, cold or has too many
     /// of our pulls for its part, each part goes on in an order of its own. A hot object's parts start with
     /// that order, since one cache can't send what a crowd wants of one object.
-    fn ask_cache(&mut self, dl: DlIx, source: Option<NodeIx>, post: &mut Post) {
+    fn ask_cache(&mut self, dl: DlIx, post: &mut Post) {
         let now = post.now;
-        let Some(Some(held)) = self.dls.get_mut(dl.0 as usize) else { return };
-        held.source = source;
         let Some(Some(held)) = self.dls.get(dl.0 as usize) else { return };
-        let (what, gap) = (&held.what, held.line.gap);
+        let (what, gap, source) = (&held.what, held.line.gap, held.source);
         let trade = &self.trades[what.content.0 as usize];
         let open = |l: &Listing| !held.declined.contains(&l.node) && !held.failed.contains(&l.node);
-        let hot = self.is_hot(what, now);
-        let home = self.first(self.own_caches(), (what.object.0, 0)).filter(|l| open(l) && !hot);
+        let spread = self.spread(what, now);
+        // Of what comes in one part only the home is sure to have it, should no fill be had.
+        let (part, any) = ((u64::from(what.part) + 1) * u64::from(spread > 1.0), spread * post.chance());
+        let nth = if trade.content.in_parts { part } else { any as u64 * u64::from(source.is_some()) };
+        let home = self.first(self.own_caches(), (what.object.0, nth)).filter(open);
         let others = self.own_caches().filter(|l| open(l));
         let next = || self.first(others, (what.object.0, u64::from(what.part) + 1));
         let Some(best) = home.or_else(next) else { return self.give_up(dl, post) };
@@ -543,7 +539,7 @@
         let (at, source) = (post.now, held.source);
         if !taken {
             held.declined.push(node);
-            return self.ask_cache(dl, source, post);
+            return self.ask_cache(dl, post);
         }
         held.declined.clear();
         held.sent.push(Sent { node, source, at, over: false, unrun: false, called_back: false });
@@ -607,9 +603,12 @@
         (sent.over, sent.unrun) = (true, end.ending.proves_unrun());
         let was = *sent;
         self.out[was.node.0 as usize] -= 1;
+        let object = held.what.object;
         let verdict = self.tell_nodes(&end, &was, post);
         self.leave_gates(dl);
         if end.ending == Ending::Fulfilled {
+            let ring = Ring::new(Span::millis(1_000), 4);
+            self.ledger.warm(object, end.took.seconds(), ring, now);
             self.learn(&end, &was, now);
         }
         let Some(Some(held)) = self.dls.get_mut(dl.0 as usize) else { return };
@@ -669,12 +668,14 @@
             post.send(To::Node(source), Note::Over { dl, verdict, ratio: None, charge: Some(work), work });
         }
         let filled = matches!(end.remark, Remark::Filled | Remark::FromOrigin);
-        // What failed on its way or was only looked for tells of misses as much as what was filled.
-        let lacked = filled || behind(end) || end.ending == Ending::Missed;
+        // What failed on its way or was only looked for tells of misses as much as what was filled. A stuck
+        // origin shows nothing but waits that nobody saw end.
+        let unseen = end.ending == Ending::TimedOut && !sure && end.took > target;
+        let lacked = filled || behind(end) || unseen || end.ending == Ending::Missed;
         if lacked || hit {
             self.odds[usize::from(sure)].add(now, f64::from(u8::from(lacked)));
         }
-        if filled || matches!(end.remark, Remark::OriginFailed | Remark::SourceLacks) {
+        if filled || unseen || matches!(end.remark, Remark::OriginFailed | Remark::SourceLacks) {
             self.odds[2].add(now, f64::from(u8::from(end.remark != Remark::Filled)));
         }
         if filled {
@@ -684,8 +685,7 @@
             Remark::FromOrigin => self.origin.show(end.first_byte / target, now),
             Remark::OriginFailed | Remark::SourceLost => self.origin.show(FAILED_RATIO * ORIGIN_SLOW, now),
             Remark::NoPlace => self.link.show(FAILED_RATIO * LINK_SLOW, now),
-            // A stuck origin shows nothing but waits that nobody saw end.
-            _ if !fulfilled && !sure && end.took > target => self.origin.show(end.took / target, now),
+            _ if unseen => self.origin.show(end.took / target, now),
             _ => {}
         }
         verdict
--- a/src/state.rs
+++ b/src/state.rs
@@ -333,7 +333,7 @@
 #[derive(Default)]
 pub struct Ledger {
     pub(crate) lines: HashMap<(ObjectKey, u32), Line>,
-    /// Sending asked for lately, of each object in parts and of all.
+    /// Sending done lately, of each object and of all.
     pub(crate) heat: HashMap<ObjectKey, Ring>,
     pub(crate) traffic: Ring,
     pub(crate) by_age: VecDeque<(Moment, (ObjectKey, u32))>,
@@ -342,10 +342,10 @@
 }
 
 impl Ledger {
-    /// Enters sending asked for; `fresh` is the ring of an object not heard of lately.
-    pub(crate) fn warm(&mut self, what: &Download, weight: f64, fresh: Ring, now: Moment) {
-        self.traffic.add(now, weight);
-        self.heat.entry(what.object).or_insert(fresh).add(now, weight);
+    /// Enters seconds of sending; `fresh` is the ring of an object not heard of lately.
+    pub(crate) fn warm(&mut self, object: ObjectKey, sending: f64, fresh: Ring, now: Moment) {
+        self.traffic.add(now, sending);
+        self.heat.entry(object).or_insert(fresh).add(now, sending);
     }
 
     /// Drops what was last asked for longer ago than `expiry`.
@@ -492,6 +492,12 @@
         self.roster.iter().flatten().filter(move |l| l.role == role && l.ready())
     }
 
+    pub(crate) fn leave_gates(&mut self, dl: DlIx) {
+        let Some(Some(held)) = self.dls.get_mut(dl.0 as usize) else { return };
+        self.link.used -= std::mem::take(&mut held.on_link);
+        self.origin.used -= std::mem::take(&mut held.at_origin);
+    }
+
     pub(crate) fn enter(&mut self, listing: Listing) {
         let at = listing.node.0 as usize;
         if self.roster.len() <= at {
