--- a/src/brain.rs
+++ b/src/brain.rs
@@ -269,7 +269,7 @@
         // Targets stand in for sizes not yet seen.
         let trade = |c: &Content| Trade { content: c.clone(), sending: c.target.seconds() * 0.5 };
         let trades = profile.contents.iter().map(trade).collect();
-        let edge_tau = EDGE_TAU_START * Self::zone_routers(&profile);
+        let edge_tau = EDGE_TAU_START * profile.own_routers();
         let parent_tau = PARENT_TAU_START * f64::from(profile.routers.max(1));
         let traffic = Ring::new(Span::millis(1_000), 4);
         let ledger = Ledger { edge_tau, parent_tau, traffic, ..Ledger::default() };
@@ -279,11 +279,6 @@
         Desk { profile, trades, roster, proven, out, dls, ledger, purges, odds, link, origin }
     }
 
-    fn zone_routers(profile: &ServiceProfile) -> f64 {
-        let told = profile.zone_routers.get(profile.zone as usize).copied();
-        f64::from(told.unwrap_or(profile.routers).max(1))
-    }
-
     fn read(&mut self, note: Note, post: &mut Post) {
         let now = post.now;
         match note {
@@ -334,7 +329,7 @@
         let window = p.fall.max(Span::millis(100));
         // A parent stands for several zones, so that it carries one zone's link at the least.
         let parents_floor = link.max(1.0) / f64::from(p.routers.max(1));
-        let caches = (p.cold_from, p.cold, p.fall_multiple, 1.0 / Self::zone_routers(p));
+        let caches = (p.cold_from, p.cold, p.fall_multiple, 1.0 / p.own_routers());
         let parents = (p.parent_cold_from, p.parent_cold, p.parent_fall_multiple, parents_floor);
         let (from, lasts, multiple, floor) = if listing.role == Role::Cache { caches } else { parents };
         let cold = Cold { from, lasts, multiple, window, floor };
@@ -342,14 +337,6 @@
         post.send(To::Node(listing.node), Note::Listed(listing, cold));
     }
 
-    fn own_caches(&self) -> impl Iterator<Item = &Listing> {
-        self.ready(Role::Cache).filter(|l| l.zone == self.profile.zone)
-    }
-
-    fn scale(&self, l: &Listing) -> f64 {
-        if self.profile.scales_compare { f64::from(l.scale.max(0.01)) } else { 1.0 }
-    }
-
     /// First of a hash order, in which each node comes first as often as its scale says.
     fn first<'a>(&self, nodes: impl Iterator<Item = &'a Listing>, of: impl Hash) -> Option<Listing> {
         let draw = |l: &Listing| -self.scale(l) / unit(hash((&of, l.stamp))).ln();
@@ -464,7 +451,7 @@
         let home = self.first(self.own_caches(), (what.object.0, nth)).filter(open);
         let others = self.own_caches().filter(|l| open(l));
         let next = || self.first(others, (what.object.0, u64::from(what.part) + 1));
-        let Some(best) = home.or_else(next) else { return self.give_up(dl, post) };
+        let Some(best) = home.or_else(next) else { return self.pass_by(dl, post) };
         if !self.may_pull(held, &best, now) {
             return self.give_up(dl, post);
         }
@@ -474,8 +461,6 @@
         let parent = source.is_some_and(|s| self.is_parent(s));
         let troubled = held.fill_failures > 0 || held.only_held || self.origin.is_slow(now);
         let pull = Pull {
-            dl,
-            node: best.node,
             source,
             oldest: self.oldest(what, troubled, now),
             rank: match gap {
@@ -484,11 +469,11 @@
                 Some(gap) if gap < self.ledger.edge_tau => LATER_RANK,
                 Some(_) => 0,
             },
-            time_out: Span::ZERO,
             join: self.profile.may_join,
             only_held: held.only_held && parent,
             no_copy: parent && gap.is_some_and(|gap| gap >= self.ledger.parent_tau),
             renew: trade.content.fresh.is_some() && source.is_some(),
+            ..Pull::plain(dl, best.node)
         };
         let sure = self.believed(held, now) == Some(best.node);
         let odds = if sure { 1.0 } else { DOUBTFUL_FAILURE };
@@ -503,6 +488,22 @@
         post.send(To::Node(best.node), Note::Ask(ask));
     }
 
+    /// No cache of the zone takes it. Where that is allowed and none of them is left for it, the parent that has
+    /// granted a fill is asked itself: guards against a zone whose caches are all gone. Merely full or cold
+    /// caches are no reason, since the parent has its other zones to fill.
+    fn pass_by(&mut self, dl: DlIx, post: &mut Post) {
+        let Some(Some(held)) = self.dls.get(dl.0 as usize) else { return };
+        let none_left = self.own_caches().all(|l| held.failed.contains(&l.node)) && self.profile.may_bypass;
+        let parent = held.source.filter(|s| none_left && self.is_parent(*s));
+        let to = parent.and_then(|p| self.roster[p.0 as usize]).filter(|l| self.may_pull(held, l, post.now));
+        let Some(to) = to else { return self.give_up(dl, post) };
+        let source = self.ready(Role::Origin).find(|_| !held.only_held).map(|l| l.node);
+        let oldest = self.oldest(&held.what, held.only_held, post.now);
+        let join = self.profile.may_join;
+        post.order(Order::Pull(Pull { source, oldest, join, ..Pull::plain(dl, to.node) }));
+        self.place(dl, to.node, None, post.now);
+    }
+
     /// (5) The oldest copy that will do: none from before a purge that this router was told of. (6) While
     /// what is behind the caches fails, an aged copy now is of more benefit than a fresh one too late.
     fn oldest(&self, what: &Download, troubled: bool, now: Moment) -> Span {
@@ -537,14 +538,12 @@
 
     fn answer(&mut self, dl: DlIx, node: NodeIx, taken: bool, post: &mut Post) {
         let Some(Some(held)) = self.dls.get_mut(dl.0 as usize) else { return };
-        let (at, source) = (post.now, held.source);
+        let source = held.source;
         if !taken {
             held.declined.push(node);
             return self.ask_cache(dl, post);
         }
-        held.declined.clear();
-        held.sent.push(Sent { node, source, at, over: false, unrun: false, called_back: false });
-        self.out[node.0 as usize] += 1;
+        self.place(dl, node, source, post.now);
     }
 
     /// Answers at once what this router won't go on with. A throttling reply promises that a repeat is
--- a/src/door.rs
+++ b/src/door.rs
@@ -43,6 +43,14 @@
     pub purge_settles: Span,
 }
 
+impl ServiceProfile {
+    /// How many routers share the caches of this router's zone, itself among them.
+    pub(crate) fn own_routers(&self) -> f64 {
+        let told = self.zone_routers.get(self.zone as usize).copied();
+        f64::from(told.unwrap_or(self.routers).max(1))
+    }
+}
+
 #[derive(Clone, Debug)]
 pub struct Content {
     pub repeat: Repeat,
@@ -140,6 +148,15 @@
     pub renew: bool,
 }
 
+impl Pull {
+    /// A look at what a node holds, which keeps and fills nothing.
+    pub(crate) fn plain(dl: DlIx, node: NodeIx) -> Pull {
+        let (source, oldest, rank, time_out) = (None, Span::ZERO, 0, Span::ZERO);
+        let (join, only_held, no_copy, renew) = (false, false, false, false);
+        Pull { dl, node, source, oldest, rank, time_out, join, only_held, no_copy, renew }
+    }
+}
+
 /// Ids of a front and the small indices that stand for them behind the door.
 #[derive(Default)]
 pub struct Register {
--- a/src/state.rs
+++ b/src/state.rs
@@ -484,6 +484,14 @@
         self.dls[at] = Some(held);
     }
 
+    /// Notes that a pull has gone out.
+    pub(crate) fn place(&mut self, dl: DlIx, node: NodeIx, source: Option<NodeIx>, at: Moment) {
+        let Some(Some(held)) = self.dls.get_mut(dl.0 as usize) else { return };
+        held.declined.clear();
+        held.sent.push(Sent { node, source, at, over: false, unrun: false, called_back: false });
+        self.out[node.0 as usize] += 1;
+    }
+
     pub(crate) fn is_parent(&self, node: NodeIx) -> bool {
         self.roster[node.0 as usize].is_some_and(|l| l.role == Role::Parent)
     }
@@ -492,6 +500,14 @@
         self.roster.iter().flatten().filter(move |l| l.role == role && l.ready())
     }
 
+    pub(crate) fn own_caches(&self) -> impl Iterator<Item = &Listing> {
+        self.ready(Role::Cache).filter(|l| l.zone == self.profile.zone)
+    }
+
+    pub(crate) fn scale(&self, l: &Listing) -> f64 {
+        if self.profile.scales_compare { f64::from(l.scale.max(0.01)) } else { 1.0 }
+    }
+
     pub(crate) fn leave_gates(&mut self, dl: DlIx) {
         let Some(Some(held)) = self.dls.get_mut(dl.0 as usize) else { return };
         self.link.used -= std::mem::take(&mut held.on_link);
--- a/tests/troubles.rs
+++ b/tests/troubles.rs
@@ -220,3 +220,16 @@
     let spread: std::collections::BTreeSet<_> = homes.values().collect();
     assert!(spread.len() >= 3);
 }
+
+#[test]
+fn a_zone_without_caches_asks_parents_where_that_is_allowed() {
+    // Guards against a zone served by nobody while its caches are all gone.
+    let mut service = profile();
+    service.may_bypass = true;
+    let mut front = Front::open(service);
+    CACHES.iter().for_each(|c| front.relist(*c, Phase::Gone, None));
+    let dl = front.page(1);
+    let out = front.last_pull(dl);
+    assert!(PARENTS.contains(&out.pull.node.0));
+    assert_eq!(out.pull.source, Some(NodeIx(ORIGIN)));
+}
