--- a/src/brain.rs
+++ b/src/brain.rs
@@ -45,7 +45,7 @@
 const ROOM_LEAST: f64 = 3.0;
 const ROOM_CUT: f64 = 0.97;
 const ROOM_STEP: f64 = 0.5;
-const CACHE_SLOW: f64 = 0.5; // all three: part of the target time that may go by there
+const CACHE_SLOW: f64 = 0.55; // all three: part of the target time that may go by there
 const CHEAP_FROM: f64 = 0.5;
 const DEAR_FROM: f64 = 0.95;
 const SPREAD: f64 = 2.0;
@@ -55,7 +55,7 @@
 const PURGE_MARGIN: Span = Span::millis(5);
 // (6)
 const FILL_FAILURES: u32 = 2;
-const LINK_SLOW: f64 = 0.4;
+const LINK_SLOW: f64 = 0.45;
 const ORIGIN_SLOW: f64 = 0.8;
 // What a failure counts for beside the slow answers that it stands among.
 const FAILED_RATIO: f64 = 4.0;
@@ -96,13 +96,12 @@
                 let taken = self.take(&ask, post);
                 post.send(To::Desk, Note::Answer { dl: ask.pull.dl, node: ask.pull.node, taken });
             }
-            Note::AskFill { fill, proven } => {
+            Note::AskFill { node, fill, proven } => {
                 let granted = self.grants(&fill, proven, now);
                 if granted {
                     self.sent.add(now, fill.charge);
                     self.out.push(fill);
                 }
-                let node = self.listing.map_or(NodeIx(0), |l| l.node);
                 post.send(To::Desk, Note::FillAnswer { dl: fill.dl, node, granted });
             }
             Note::Over { dl, verdict, ratio, charge, work } => {
@@ -111,7 +110,7 @@
                 self.sent.weigh(out.sent, 0.0, charge.map_or(0.0, |c| c - out.charge));
                 self.done.add(now, work);
                 if let Some(ratio) = ratio {
-                    self.gate.show(ratio, now);
+                    self.gate.show(ratio, out.charge, now);
                 }
                 self.judge(verdict, 1.0, post);
             }
@@ -155,10 +154,9 @@
         let now = post.now;
         let trial = |until| now >= until && ask.trial && self.out.is_empty();
         let out = self.out.len() as f64 + 1.0;
-        let fit =
-            self.listing.is_some_and(Listing::ready) && self.aside.is_none_or(trial) && out <= ask.bound;
+        let fit = self.listing.is_some_and(Listing::ready) && self.aside.is_none_or(trial);
+        let fit = fit && out <= ask.bound && self.bears(ask.out.charge, ask.proven, now);
         self.gate.used = out;
-        let fit = fit && self.bears(ask.out.charge, ask.proven, now);
         if !fit || !self.gate.lets(0.0, ask.cheap, post.chance()) {
             return false;
         }
@@ -187,7 +185,7 @@
                 (self.streak, self.aside, self.last_good) = (0.0, None, now);
             }
             Verdict::Bad => self.streak += failure,
-            Verdict::Full => self.gate.show(FAILED_RATIO * CACHE_SLOW, now),
+            Verdict::Full => self.gate.show(FAILED_RATIO * CACHE_SLOW, 1.0, now),
             Verdict::Unclear => {}
         }
         if verdict == Verdict::Bad && (self.streak >= FAILURES_IN_A_ROW || self.aside.is_some()) {
@@ -217,8 +215,8 @@
     }
 }
 
-/// A bound that learns: what passes it is held until it is over, and answers that took longer than they
-/// should narrow it. Guards against overload of what stands behind, whether load or a fault caused it.
+/// A bound that learns: answers that take longer than they should narrow it. Guards against overload of what
+/// stands behind, whether load or a fault caused it; it hurts where slow answers are slow at any load.
 impl Gate {
     fn open(slow: f64) -> Gate {
         Gate { room: ROOM_START, used: 0.0, slow, shown: Ring::new(Span::millis(250), 4) }
@@ -232,8 +230,9 @@
         lets
     }
 
-    fn show(&mut self, ratio: f64, now: Moment) {
-        self.shown.add(now, ratio.min(FAILED_RATIO * self.slow));
+    // By weight, so that many small answers don't hide that the large ones jam.
+    fn show(&mut self, ratio: f64, weight: f64, now: Moment) {
+        self.shown.weigh(now, weight, weight * ratio.min(FAILED_RATIO * self.slow));
     }
 
     fn is_slow(&self, now: Moment) -> bool {
@@ -326,13 +325,12 @@
         let p = &self.profile;
         let links = p.zone_link_kb_per_s.iter().filter(|l| **l > 0.0);
         let link = links.clone().sum::<f64>() / links.count().max(1) as f64 / p.flow_kb_per_s.max(1.0);
-        let window = p.fall.max(Span::millis(100));
         // A parent stands for several zones, so that it carries one zone's link at the least.
         let parents_floor = link.max(1.0) / f64::from(p.routers.max(1));
         let caches = (p.cold_from, p.cold, p.fall_multiple, 1.0 / p.own_routers());
         let parents = (p.parent_cold_from, p.parent_cold, p.parent_fall_multiple, parents_floor);
         let (from, lasts, multiple, floor) = if listing.role == Role::Cache { caches } else { parents };
-        let cold = Cold { from, lasts, multiple, window, floor };
+        let cold = Cold { from, lasts, multiple, window: p.fall.max(BEAT), floor };
         self.enter(listing);
         post.send(To::Node(listing.node), Note::Listed(listing, cold));
     }
@@ -388,7 +386,7 @@
                 // What is not surely a hit weighs in full until it is over: odds lag behind a rush of misses.
                 let charge = self.weight(&held.what) * if sure { odds } else { 1.0 };
                 let fill = self.out_of(dl, &held.what, odds, charge, post.now);
-                post.send(To::Node(l.node), Note::AskFill { fill, proven: self.like(&l) });
+                post.send(To::Node(l.node), Note::AskFill { node: l.node, fill, proven: self.like(&l) });
             }
             None => self.ask_cache(dl, post),
         }
@@ -445,8 +443,8 @@
         let trade = &self.trades[what.content.0 as usize];
         let open = |l: &Listing| !held.declined.contains(&l.node) && !held.failed.contains(&l.node);
         let spread = self.spread(what, now);
-        // Of what comes in one part only the home is sure to have it, should no fill be had.
         let (part, any) = ((u64::from(what.part) + 1) * u64::from(spread > 1.0), spread * post.chance());
+        // Without a fill only the home is sure to have what comes in one part.
         let nth = if trade.content.in_parts { part } else { any as u64 * u64::from(source.is_some()) };
         let home = self.first(self.own_caches(), (what.object.0, nth)).filter(open);
         let others = self.own_caches().filter(|l| open(l));
@@ -488,9 +486,8 @@
         post.send(To::Node(best.node), Note::Ask(ask));
     }
 
-    /// No cache of the zone takes it. Where that is allowed and none of them is left for it, the parent that has
-    /// granted a fill is asked itself: guards against a zone whose caches are all gone. Merely full or cold
-    /// caches are no reason, since the parent has its other zones to fill.
+    /// Where it may be, the parent that has granted a fill is asked itself: guards against a zone whose caches are
+    /// all gone. Merely full or cold ones are no reason, since the parent has its other zones to fill.
     fn pass_by(&mut self, dl: DlIx, post: &mut Post) {
         let Some(Some(held)) = self.dls.get(dl.0 as usize) else { return };
         let none_left = self.own_caches().all(|l| held.failed.contains(&l.node)) && self.profile.may_bypass;
@@ -679,13 +676,15 @@
             self.odds[2].add(now, f64::from(u8::from(end.remark != Remark::Filled)));
         }
         if filled {
-            self.link.show(end.took.less(end.first_byte) / target, now);
+            self.link.show(end.took.less(end.first_byte) / target, weight, now);
         }
         match end.remark {
-            Remark::FromOrigin => self.origin.show(end.first_byte / target, now),
-            Remark::OriginFailed | Remark::SourceLost => self.origin.show(FAILED_RATIO * ORIGIN_SLOW, now),
-            Remark::NoPlace => self.link.show(FAILED_RATIO * LINK_SLOW, now),
-            _ if unseen => self.origin.show(end.took / target, now),
+            Remark::FromOrigin => self.origin.show(end.first_byte / target, 1.0, now),
+            Remark::OriginFailed | Remark::SourceLost => {
+                self.origin.show(FAILED_RATIO * ORIGIN_SLOW, 1.0, now)
+            }
+            Remark::NoPlace => self.link.show(FAILED_RATIO * LINK_SLOW, weight, now),
+            _ if unseen => self.origin.show(end.took / target, 1.0, now),
             _ => {}
         }
         verdict
--- a/src/state.rs
+++ b/src/state.rs
@@ -205,6 +205,7 @@
         taken: bool,
     },
     AskFill {
+        node: NodeIx,
         fill: Out,
         proven: f64,
     },
