Cheapness by each object's own sending; writes pass gates

Sending is now told, or the shortest seen of the object and part. It may hurt clients of large objects under lasting overload: they are turned away first.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -225,7 +225,7 @@
     /// (4) By chance, so that routers that know nothing of each other don't swing together.
     fn lets(&mut self, charge: f64, cheap: f64, chance: f64) -> bool {
         let from = DEAR_FROM + (CHEAP_FROM - DEAR_FROM) * cheap;
-        let lets = chance >= ((self.used + charge) / self.room - from) / (1.1 - from);
+        let lets = cheap < 0.0 || chance >= ((self.used + charge) / self.room - from) / (1.1 - from);
         self.used += if lets { charge } else { 0.0 };
         lets
     }
@@ -346,11 +346,10 @@
     /// Fills are counted by the odds, since nothing tells beforehand which pulls will need one.
     fn pass_gates(&mut self, dl: DlIx, post: &mut Post) {
         let Some(Some(held)) = self.dls.get(dl.0 as usize) else { return };
-        let trade = &self.trades[held.what.content.0 as usize];
-        let (write, failures) = (trade.content.write, held.fill_failures);
         // A fill that leaves no copy serves one download only.
         let unkept = held.line.gap.is_some_and(|gap| gap >= self.ledger.edge_tau);
-        let cheap = self.cheap(held.what.content).max(f64::from(u8::from(unkept)));
+        let own = self.cheap(held);
+        let cheap = if unkept && own >= 0.0 { 1.0 } else { own };
         let sure = self.believed(held, post.now).is_some();
         let odds = self.chance_of(usize::from(sure), post.now);
         let fills = self.link.lets(odds, cheap, post.chance());
@@ -359,8 +358,8 @@
         let Some(Some(held)) = self.dls.get_mut(dl.0 as usize) else { return };
         held.on_link = if fills { odds } else { 0.0 };
         held.at_origin = if fetches { reaches } else { 0.0 };
-        held.only_held = !fetches && !write;
-        if write || fills && failures < FILL_FAILURES {
+        held.only_held = !fetches;
+        if fills && held.fill_failures < FILL_FAILURES {
             return self.ask_source(dl, post);
         }
         self.ask_cache(dl, post);
@@ -392,11 +391,14 @@
         }
     }
 
-    /// Cheap, up to 1, is what earns little for the sending that it takes, next to the dearest content type.
-    fn cheap(&self, content: ContentIx) -> f64 {
+    /// Cheap, up to 1, is what earns little for its sending, told or seen. What runs at the origin takes none here.
+    fn cheap(&self, held: &Dl) -> f64 {
         let earns = |t: &Trade| t.content.benefit / t.sending.max(0.001);
-        let dearest = self.trades.iter().map(earns).fold(0.001, f64::max);
-        1.0 - earns(&self.trades[content.0 as usize]) / dearest
+        let trade = &self.trades[held.what.content.0 as usize];
+        let dearest = self.trades.iter().filter(|t| !t.content.write).map(earns).fold(0.001, f64::max);
+        let seen = held.line.sending.filter(|_| held.what.kilobytes <= 0.0);
+        let sending = seen.unwrap_or(self.weight(&held.what)).max(0.001);
+        if trade.content.write { -1.0 } else { (1.0 - trade.content.benefit / sending / dearest).max(0.0) }
     }
 
     /// Seconds of sending that a download is taken to need.
@@ -478,7 +480,7 @@
         let ask = Ask {
             pull,
             out: self.out_of(dl, what, odds, trade.sending.max(self.weight(what)), now),
-            cheap: self.cheap(what.content),
+            cheap: self.cheap(held),
             bound: (SPREAD * fair).max(SPREAD_LEAST),
             proven: self.like(&best),
             trial: trade.content.repeat == Repeat::Retriable,
@@ -652,8 +654,7 @@
         }
         let target = trade.content.target + Span::of_seconds(weight * trade.content.target_stretch);
         let ratio = hit.then(|| end.took / target);
-        let work = if fulfilled { weight } else { 0.0 };
-        let dl = end.dl;
+        let (dl, work) = (end.dl, if fulfilled { weight } else { 0.0 });
         post.send(To::Node(was.node), Note::Over { dl, verdict, ratio, charge: None, work });
         if let Some(source) = was.source {
             let verdict = match end.remark {
@@ -678,11 +679,10 @@
         if filled {
             self.link.show(end.took.less(end.first_byte) / target, weight, now);
         }
+        let failed = FAILED_RATIO * ORIGIN_SLOW;
         match end.remark {
             Remark::FromOrigin => self.origin.show(end.first_byte / target, 1.0, now),
-            Remark::OriginFailed | Remark::SourceLost => {
-                self.origin.show(FAILED_RATIO * ORIGIN_SLOW, 1.0, now)
-            }
+            Remark::OriginFailed | Remark::SourceLost => self.origin.show(failed, 1.0, now),
             Remark::NoPlace => self.link.show(FAILED_RATIO * LINK_SLOW, weight, now),
             _ if unseen => self.origin.show(end.took / target, 1.0, now),
             _ => {}
@@ -693,7 +693,9 @@
     /// Samples τ from misses on copies believed kept, and notes what this answer left where.
     fn learn(&mut self, end: &PullEnd, was: &Sent, now: Moment) {
         let Some(Some(held)) = self.dls.get(end.dl.0 as usize) else { return };
-        if !matches!(end.remark, Remark::Filled | Remark::FromOrigin) {
+        self.ledger.saw(&held.what, end.took.less(end.first_byte).seconds());
+        let write = self.trades[held.what.content.0 as usize].content.write;
+        if write || !matches!(end.remark, Remark::Filled | Remark::FromOrigin) {
             return;
         }
         let (what, line, at_origin) = (held.what, held.line, end.remark == Remark::FromOrigin);
@@ -710,11 +712,8 @@
         }
         let Some(entry) = self.ledger.lines.get_mut(&(what.object, what.part)) else { return };
         entry.edge = kept.then_some((was.node, now));
-        if let Some(parent) = through.filter(|_| left) {
-            entry.parent = Some((parent, now));
-        } else if at_origin {
-            entry.parent = None;
-        }
+        let given = through.filter(|_| left).map(|parent| (parent, now));
+        entry.parent = given.or(entry.parent.filter(|_| !at_origin));
     }
 }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -343,6 +343,13 @@
 }
 
 impl Ledger {
+    /// Keeps the shortest sending seen of an object and part.
+    pub(crate) fn saw(&mut self, what: &Download, sending: f64) {
+        if let Some(line) = self.lines.get_mut(&(what.object, what.part)) {
+            line.sending = Some(line.sending.map_or(sending, |s| s.min(sending)));
+        }
+    }
+
     /// Enters seconds of sending; `fresh` is the ring of an object not heard of lately.
     pub(crate) fn warm(&mut self, object: ObjectKey, sending: f64, fresh: Ring, now: Moment) {
         self.traffic.add(now, sending);
@@ -368,6 +375,8 @@
 pub struct Line {
     pub(crate) last: Moment,
     pub(crate) gap: Option<Span>,
+    /// Seconds in which it was sent at best.
+    pub(crate) sending: Option<f64>,
     pub(crate) edge: Copied,
     pub(crate) parent: Copied,
 }
--- a/tests/troubles.rs
+++ b/tests/troubles.rs
@@ -233,3 +233,15 @@
     assert!(PARENTS.contains(&out.pull.node.0));
     assert_eq!(out.pull.source, Some(NodeIx(ORIGIN)));
 }
+
+#[test]
+fn writes_pass_caches_and_gates_that_turn_others_away() {
+    // Guards against losing the dearest downloads, which run at the origin, to caches full of others.
+    let mut front = Front::open(profile());
+    for n in 0..400 {
+        front.arrive(PAGE, n, 0, Span::millis(3_000));
+    }
+    assert!(front.out().len() < 200, "the caches should be full");
+    let dls: Vec<_> = (0..20).map(|n| front.arrive(WRITE, 1_000 + n, 0, Span::millis(3_000))).collect();
+    assert!(dls.iter().all(|dl| !front.throttled(*dl)));
+}
