--- a/src/brain.rs
+++ b/src/brain.rs
@@ -41,7 +41,7 @@
 const OVERDUE_MULTIPLE: f64 = 4.0;
 const OVERDUE_LEAST: Span = Span::millis(150);
 // (4)
-const ROOM_START: f64 = 24.0;
+const ROOM_START: f64 = 24.0; // over all routers that share what is behind
 const ROOM_LEAST: f64 = 3.0;
 const ROOM_CUT: f64 = 0.97;
 const ROOM_STEP: f64 = 0.5;
@@ -123,7 +123,7 @@
         if anew || listing.phase == Phase::Gone {
             // What was seen of a process that is no more says nothing of the next one.
             (self.streak, self.aside, self.holds, self.last_good) = (0.0, None, 0, post.now);
-            self.gate = Gate::open(CACHE_SLOW);
+            self.gate = Gate::open(CACHE_SLOW, cold.sharers);
             self.call_back(post);
         }
         if self.listing.is_none() {
@@ -218,8 +218,9 @@
 /// A bound that learns: answers that take longer than they should narrow it. Guards against overload of what
 /// stands behind, whether load or a fault caused it; it hurts where slow answers are slow at any load.
 impl Gate {
-    fn open(slow: f64) -> Gate {
-        Gate { room: ROOM_START, used: 0.0, slow, shown: Ring::new(Span::millis(250), 4) }
+    fn open(slow: f64, sharers: f64) -> Gate {
+        let room = (ROOM_START / sharers).max(ROOM_LEAST);
+        Gate { room, used: 0.0, slow, shown: Ring::new(Span::millis(250), 4) }
     }
 
     /// (4) By chance, so that routers that know nothing of each other don't swing together.
@@ -274,7 +275,8 @@
         let ledger = Ledger { edge_tau, parent_tau, traffic, ..Ledger::default() };
         let (roster, proven, out, dls) = Default::default();
         let odds = [(); 3].map(|()| Ring::new(Span::millis(500), 8));
-        let (link, origin, purges) = (Gate::open(LINK_SLOW), Gate::open(ORIGIN_SLOW), Purges::default());
+        let link = Gate::open(LINK_SLOW, profile.own_routers());
+        let (origin, purges) = (Gate::open(ORIGIN_SLOW, 1.0), Purges::default());
         Desk { profile, trades, roster, proven, out, dls, ledger, purges, odds, link, origin }
     }
 
@@ -330,7 +332,7 @@
         let caches = (p.cold_from, p.cold, p.fall_multiple, 1.0 / p.own_routers());
         let parents = (p.parent_cold_from, p.parent_cold, p.parent_fall_multiple, parents_floor);
         let (from, lasts, multiple, floor) = if listing.role == Role::Cache { caches } else { parents };
-        let cold = Cold { from, lasts, multiple, window: p.fall.max(BEAT), floor };
+        let cold = Cold { from, lasts, multiple, window: p.fall.max(BEAT), floor, sharers: p.own_routers() };
         self.enter(listing);
         post.send(To::Node(listing.node), Note::Listed(listing, cold));
     }
@@ -455,11 +457,13 @@
         if !self.may_pull(held, &best, now) {
             return self.give_up(dl, post);
         }
-        let out: usize = self.own_caches().map(|l| self.out[l.node.0 as usize]).sum();
+        let all: usize = self.own_caches().map(|l| self.out[l.node.0 as usize]).sum();
         let scales = self.own_caches().map(|l| self.scale(l)).sum::<f64>();
-        let fair = (out + 1) as f64 * self.scale(&best) / scales.max(0.01);
+        let fair = (all + 1) as f64 * self.scale(&best) / scales.max(0.01);
         let parent = source.is_some_and(|s| self.is_parent(s));
         let troubled = held.fill_failures > 0 || held.only_held || self.origin.is_slow(now);
+        let odds = if self.believed(held, now) == Some(best.node) { 1.0 } else { DOUBTFUL_FAILURE };
+        let out = self.out_of(dl, what, odds, trade.sending.max(self.weight(what)), now);
         let pull = Pull {
             source,
             oldest: self.oldest(what, troubled, now),
@@ -473,13 +477,12 @@
             only_held: held.only_held && parent,
             no_copy: parent && gap.is_some_and(|gap| gap >= self.ledger.parent_tau),
             renew: trade.content.fresh.is_some() && source.is_some(),
+            time_out: if self.profile.may_cancel { Span::ZERO } else { out.overdue },
             ..Pull::plain(dl, best.node)
         };
-        let sure = self.believed(held, now) == Some(best.node);
-        let odds = if sure { 1.0 } else { DOUBTFUL_FAILURE };
         let ask = Ask {
             pull,
-            out: self.out_of(dl, what, odds, trade.sending.max(self.weight(what)), now),
+            out,
             cheap: self.cheap(held),
             bound: (SPREAD * fair).max(SPREAD_LEAST),
             proven: self.like(&best),
@@ -548,7 +551,6 @@
     /// Answers at once what this router won't go on with. A throttling reply promises that a repeat is
     /// harmless, so that what may have run gets one only where repeats are.
     fn give_up(&mut self, dl: DlIx, post: &mut Post) {
-        let longest = self.profile.longest_retry_after;
         let Some(Some(held)) = self.dls.get(dl.0 as usize) else { return };
         if let Some(source) = held.source {
             let (verdict, charge) = (Verdict::Unclear, Some(0.0));
@@ -556,11 +558,10 @@
         }
         let repeat = self.trades[held.what.content.0 as usize].content.repeat;
         let known = matches!(repeat, Repeat::Retriable | Repeat::Deduped { within: Circle::All, .. });
-        if !held.answered && (known || held.may_have_run().is_none()) {
-            let retry_after = (BACK_IN * (0.5 + post.chance())).min(longest);
-            post.order(Order::Throttle { dl, retry_after });
-        } else if !held.answered {
-            post.order(Order::Abandon { dl });
+        if !held.answered {
+            let retry_after = (BACK_IN * (0.5 + post.chance())).min(self.profile.longest_retry_after);
+            let harmless = known || held.may_have_run().is_none();
+            post.order(if harmless { Order::Throttle { dl, retry_after } } else { Order::Abandon { dl } });
         }
         self.leave_gates(dl);
         self.close(dl, post);
@@ -623,8 +624,8 @@
             held.failed.push(was.node);
         }
         let write = self.trades[held.what.content.0 as usize].content.write;
-        held.source = None;
         let looked = was.source.is_none() || held.only_held;
+        held.source = None;
         if end.ending == Ending::Missed && looked || behind(&end) && write {
             return self.give_up(dl, post);
         }
--- a/src/state.rs
+++ b/src/state.rs
@@ -292,6 +292,8 @@
     pub(crate) window: Span,
     /// Transfers, a router, that are assumed before a like node was seen to carry more.
     pub(crate) floor: f64,
+    /// Routers that share a cache.
+    pub(crate) sharers: f64,
 }
 
 /// A bound on what is under way, in pulls, and the slowness that was shown behind it.
