--- a/src/door.rs
+++ b/src/door.rs
@@ -13,8 +13,6 @@
     /// How many routers serve each zone, by zone; zero for the hubs.
     pub zone_routers: Vec<u16>,
     pub routers: u16,
-    /// The hub of each zone; hubs stand in a ring.
-    pub hub_of: Vec<u16>,
     pub contents: Vec<Content>,
     /// Roster scales that stay the same and compare sizes.
     pub scales_compare: bool,
@@ -23,12 +21,9 @@
     pub may_duplicate: bool,
     pub may_bypass: bool,
     pub may_join: bool,
-    pub may_probe: bool,
-    pub siblings: Siblings,
     pub most_pulls: u32,
     /// Zero: clients are not told when to come back.
     pub longest_retry_after: Span,
-    pub tells_fills: bool,
     pub flow_kb_per_s: f64,
     /// Kilobytes a second of each zone's link in; zero where it is not told.
     pub zone_link_kb_per_s: Vec<f64>,
@@ -39,7 +34,6 @@
     pub parent_cold_from: f64,
     pub parent_cold: Span,
     pub parent_fall_multiple: f64,
-    pub origin_fall_multiple: f64,
     pub purge_settles: Span,
 }
 
@@ -56,16 +50,13 @@
     pub repeat: Repeat,
     pub target: Span,
     pub target_stretch: f64,
-    pub expiry: Span,
     pub benefit: f64,
-    pub late_share: f64,
     pub write: bool,
     /// Objects have several parts, asked for one after another.
     pub in_parts: bool,
     /// None: a copy is good until it is purged.
     pub fresh: Option<Span>,
     pub grace: Span,
-    pub aged_share: f64,
 }
 
 #[derive(Clone, Debug)]
@@ -78,11 +69,6 @@
         dl: DlIx,
         download: Download,
     },
-    /// A streamed answer has begun: the pull is the client's now.
-    Began {
-        dl: DlIx,
-        pull: u8,
-    },
     Ended(PullEnd),
     /// The client left, or the answer was overdue.
     Left {
@@ -91,10 +77,6 @@
     Rang {
         bell: u32,
     },
-    Probed {
-        node: NodeIx,
-        alive: bool,
-    },
     /// No object: every object of the group.
     Purged {
         object: Option<ObjectKey>,
@@ -121,9 +103,6 @@
         after: Span,
         bell: u32,
     },
-    Probe {
-        node: NodeIx,
-    },
     WatchRoster,
     /// Nothing more will be said of this download: its index is free.
     Forget {
@@ -226,7 +205,6 @@
                 Note::Beat
             }
             Event::Purged { object, group, ago } => Note::Purged { object, group, at: self.now.before(ago) },
-            Event::Began { .. } | Event::Probed { .. } => return,
         };
         self.send(To::Desk, note);
     }
--- a/src/state.rs
+++ b/src/state.rs
@@ -144,14 +144,6 @@
     Cell,
 }
 
-/// Which caches may be the source of a fill.
-#[derive(Clone, Copy, PartialEq, Eq, Debug)]
-pub enum Siblings {
-    None,
-    Zone,
-    Any,
-}
-
 /// What differs by content type, and what is learnt of it.
 pub struct Trade {
     pub(crate) content: Content,
