Fail-back: what may have reached a cold source stays charged to its budget

Pulls past the origin's gate ask a parent for what it holds; those it answered with a miss (some 150 in half a second) were given back as if they had never reached it. Now only hits at the cache and pulls never sent are given back.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -154,10 +154,9 @@
         let now = post.now;
         let trial = |until| now >= until && ask.trial && self.out.is_empty();
         let out = self.out.len() as f64 + 1.0;
-        let fit = self.listing.is_some_and(Listing::ready) && self.aside.is_none_or(trial);
-        let fit = fit && out <= ask.bound && self.bears(ask.out.charge, ask.proven, now);
+        let fit = self.aside.is_none_or(trial) && self.bears(ask.out.charge, ask.proven, now);
         self.gate.used = out;
-        if !fit || !self.gate.lets(0.0, ask.cheap, post.chance()) {
+        if !fit || out > ask.bound || !self.gate.lets(0.0, ask.cheap, post.chance()) {
             return false;
         }
         self.out.push(ask.out);
@@ -171,7 +170,7 @@
         let trial = |until| now >= until && self.out.is_empty();
         let under_way = self.out.iter().map(|f| f.odds).sum::<f64>();
         let bears = under_way <= FILL_BOUND && self.bears(fill.charge, proven, now);
-        self.listing.is_some_and(Listing::ready) && self.aside.is_none_or(trial) && (origin || bears)
+        self.aside.is_none_or(trial) && (origin || bears)
     }
 
     /// (1) Guards against nodes that fail fast, fall silent or can't be reached, whatever the cause.
@@ -337,6 +336,11 @@
         post.send(To::Node(listing.node), Note::Listed(listing, cold));
     }
 
+    /// Rule 3: whoever drains or is gone is named for nothing more, as cache or as source, without any grace.
+    pub(crate) fn ready(&self, role: Role) -> impl Iterator<Item = &Listing> {
+        self.roster.iter().flatten().filter(move |l| l.role == role && l.phase == Phase::Ready)
+    }
+
     /// First of a hash order, in which each node comes first as often as its scale says.
     fn first<'a>(&self, nodes: impl Iterator<Item = &'a Listing>, of: impl Hash) -> Option<Listing> {
         let draw = |l: &Listing| -self.scale(l) / unit(hash((&of, l.stamp))).ln();
@@ -405,10 +409,8 @@
 
     /// Seconds of sending that a download is taken to need.
     fn weight(&self, what: &Download) -> f64 {
-        if what.kilobytes > 0.0 && self.profile.flow_kb_per_s > 0.0 {
-            return f64::from(what.kilobytes) / self.profile.flow_kb_per_s;
-        }
-        self.trades[what.content.0 as usize].sending
+        let told = f64::from(what.kilobytes) / self.profile.flow_kb_per_s.max(1.0);
+        if told > 0.0 { told } else { self.trades[what.content.0 as usize].sending }
     }
 
     fn out_of(&self, dl: DlIx, what: &Download, odds: f64, charge: f64, now: Moment) -> Out {
@@ -418,8 +420,8 @@
 
     /// What the busiest like node was seen to carry of ours.
     fn like(&self, l: &Listing) -> f64 {
-        let near = |o: &&Listing| o.zone == l.zone || l.role != Role::Cache;
-        let like = self.roster.iter().flatten().filter(|o| o.kind == l.kind && o.node != l.node);
+        let near = |o: &&Listing| (o.zone == l.zone || l.role != Role::Cache) && o.node != l.node;
+        let like = self.roster.iter().flatten().filter(|o| o.kind == l.kind);
         like.filter(near).map(|o| self.proven[o.node.0 as usize]).fold(0.0, f64::max)
     }
 
@@ -517,9 +519,8 @@
 
     /// Rule 2: what may have run goes on only where, and as long as, a repeat does no harm.
     fn may_pull(&self, held: &Dl, to: &Listing, now: Moment) -> bool {
-        let over = held.answered || now >= held.what.leaves_at;
         let spent = held.sent.len() as u32 >= self.profile.most_pulls;
-        if over || spent || held.pulls_out() && !self.profile.may_duplicate {
+        if spent || held.answered || now >= held.what.leaves_at || held.pulls_out() {
             return false;
         }
         let Some(first) = held.may_have_run() else { return true };
@@ -558,11 +559,9 @@
         }
         let repeat = self.trades[held.what.content.0 as usize].content.repeat;
         let known = matches!(repeat, Repeat::Retriable | Repeat::Deduped { within: Circle::All, .. });
-        if !held.answered {
-            let retry_after = (BACK_IN * (0.5 + post.chance())).min(self.profile.longest_retry_after);
-            let harmless = known || held.may_have_run().is_none();
-            post.order(if harmless { Order::Throttle { dl, retry_after } } else { Order::Abandon { dl } });
-        }
+        let retry_after = (BACK_IN * (0.5 + post.chance())).min(self.profile.longest_retry_after);
+        let harmless = known || held.may_have_run().is_none();
+        post.order(if harmless { Order::Throttle { dl, retry_after } } else { Order::Abandon { dl } });
         self.leave_gates(dl);
         self.close(dl, post);
     }
@@ -603,12 +602,9 @@
         (sent.over, sent.unrun) = (true, end.ending.proves_unrun());
         let was = *sent;
         self.out[was.node.0 as usize] -= 1;
-        let object = held.what.object;
         let verdict = self.tell_nodes(&end, &was, post);
         self.leave_gates(dl);
         if end.ending == Ending::Fulfilled {
-            let ring = Ring::new(Span::millis(1_000), 4);
-            self.ledger.warm(object, end.took.seconds(), ring, now);
             self.learn(&end, &was, now);
         }
         let Some(Some(held)) = self.dls.get_mut(dl.0 as usize) else { return };
@@ -663,8 +659,11 @@
                 Remark::SourceRefused | Remark::SourceLost => Verdict::Bad,
                 _ => Verdict::Unclear,
             };
-            let work = if verdict == Verdict::Unclear { 0.0 } else { weight };
-            post.send(To::Node(source), Note::Over { dl, verdict, ratio: None, charge: Some(work), work });
+            let work = if verdict == Verdict::Good { weight } else { 0.0 };
+            // What may have reached the source stays charged, also where it only said that it lacks the object.
+            let spared = hit || matches!(end.ending, Ending::NotSent | Ending::NoConnection);
+            let charge = Some(if spared { 0.0 } else { weight });
+            post.send(To::Node(source), Note::Over { dl, verdict, ratio: None, charge, work });
         }
         let filled = matches!(end.remark, Remark::Filled | Remark::FromOrigin);
         // What failed on its way or was only looked for tells of misses as much as what was filled. A stuck
@@ -695,6 +694,7 @@
     fn learn(&mut self, end: &PullEnd, was: &Sent, now: Moment) {
         let Some(Some(held)) = self.dls.get(end.dl.0 as usize) else { return };
         self.ledger.saw(&held.what, end.took.less(end.first_byte).seconds());
+        self.ledger.warm(held.what.object, end.took.seconds(), Ring::new(Span::millis(1_000), 4), now);
         let write = self.trades[held.what.content.0 as usize].content.write;
         if write || !matches!(end.remark, Remark::Filled | Remark::FromOrigin) {
             return;
--- a/src/door.rs
+++ b/src/door.rs
@@ -18,7 +18,6 @@
     pub scales_compare: bool,
     pub roster_on_call: bool,
     pub may_cancel: bool,
-    pub may_duplicate: bool,
     pub may_bypass: bool,
     pub may_join: bool,
     pub most_pulls: u32,
--- a/src/state.rs
+++ b/src/state.rs
@@ -72,12 +72,6 @@
     Failed,
 }
 
-impl Listing {
-    pub(crate) fn ready(self) -> bool {
-        self.phase == Phase::Ready
-    }
-}
-
 /// How a pull ended.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub enum Ending {
@@ -500,10 +494,6 @@
         self.roster[node.0 as usize].is_some_and(|l| l.role == Role::Parent)
     }
 
-    pub(crate) fn ready(&self, role: Role) -> impl Iterator<Item = &Listing> {
-        self.roster.iter().flatten().filter(move |l| l.role == role && l.ready())
-    }
-
     pub(crate) fn own_caches(&self) -> impl Iterator<Item = &Listing> {
         self.ready(Role::Cache).filter(|l| l.zone == self.profile.zone)
     }
--- a/tests/troubles.rs
+++ b/tests/troubles.rs
@@ -237,3 +237,21 @@
     let dls: Vec<_> = (0..20).map(|n| front.arrive(WRITE, 1_000 + n, 0, Span::millis(3_000))).collect();
     assert!(dls.iter().all(|dl| !front.throttled(*dl)));
 }
+
+#[test]
+fn looks_at_a_cold_parent_count_against_what_it_bears() {
+    // Guards against a cold parent pushed over by pulls that it answers with a miss.
+    let mut front = Front::open(profile());
+    front.relist(PARENTS[0], Phase::Ready, Some(front.now));
+    let mut asked = 0;
+    for n in 0..200 {
+        let dl = front.page(n);
+        for out in front.out().into_iter().filter(|o| o.dl == dl) {
+            asked += usize::from(out.pull.source == Some(NodeIx(PARENTS[0])));
+            front.end(out, Ending::Missed, Remark::SourceLacks);
+        }
+        front.leave(dl);
+        front.wait(Span::millis(5));
+    }
+    assert!((1..=29).contains(&asked), "{asked} asked");
+}
