--- a/src/brain.rs
+++ b/src/brain.rs
@@ -35,7 +35,7 @@
 const ASIDE_FIRST: Span = Span::millis(1_000);
 const ASIDE_MOST: Span = Span::millis(8_000);
 // (2) The part of the allowance that is used, for what the estimates get wrong.
-const COLD_MARGIN: f64 = 0.7;
+const COLD_MARGIN: f64 = 0.55;
 // (3)
 const BEAT: Span = Span::millis(50);
 const OVERDUE_MULTIPLE: f64 = 4.0;
