--- a/src/brain.rs
+++ b/src/brain.rs
@@ -17,48 +17,47 @@
 use crate::time::{Moment, Span};
 use std::hash::Hash;
 
-// The design's own figures, those that it leaves open.
-const EDGE_TAU_START: Span = Span::millis(10_000); // times the zone's routers
-// Times all routers. At 10 s the first minute saw no gap above it and set no no-copy switch.
-const PARENT_TAU_START: Span = Span::millis(6_000);
-const TAU_WEIGHT: f64 = 0.1;
+// The design's own figures, those that it leaves open; seen on all three deployments unless one is named.
+const EDGE_TAU_START: Span = Span::millis(10_000); // times the zone's routers, as the design page starts it
+const PARENT_TAU_START: Span = Span::millis(6_000); // times all routers; at 10 s no no-copy was set
+const TAU_WEIGHT: f64 = 0.1; // as the design page starts it
 const TABLE_CAP: f64 = 1.6; // the paper has 1.2, which leaves few gaps between τ and forgetting
 const FIRST_RANK: u8 = 1;
-const LATER_RANK: u8 = 2;
-const HOT: f64 = 0.5; // of a cache's part of the sending; an object that takes more is spread
+const LATER_RANK: u8 = 2; // rank 1 for all lost hits: adire-branch-net 0.67 to 0.63
 const FILL_BOUND: f64 = 16.0; // fills to be expected among our pulls
-
-// (1) Three in a row are hardly chance at the rate of errors of a sound cache.
-const FAILURES_IN_A_ROW: f64 = 3.0;
-// An overdue download that may be a miss says little of the cache: what is behind it may be slow.
-const DOUBTFUL_FAILURE: f64 = 0.34;
-const ASIDE_FIRST: Span = Span::millis(1_000);
-const ASIDE_MOST: Span = Span::millis(8_000);
-// (2) The part of the allowance that is used, for what the estimates get wrong.
-const COLD_MARGIN: f64 = 0.55;
+const HOT: f64 = 0.5; // of a cache's part of the sending; an object that takes more is spread
+// (1)
+const FAILURES_IN_A_ROW: f64 = 3.0; // hardly chance at the rate of errors of a sound cache
+const DOUBTFUL_FAILURE: f64 = 0.34; // silence on what may be a miss: what is behind the cache may be slow
+const ASIDE_FIRST: Span = Span::millis(1_000); // doubles, so that a trial costs little while a fault lasts
+const ASIDE_MOST: Span = Span::millis(8_000); // so that a node that is well again is not left out for long
+// (2)
+const COLD_MARGIN: f64 = 0.55; // of the allowance; 0.7 came within 85% of a fall on adire-branch-net
+const SEEN_FOR: (Span, usize) = (Span::millis(2_000), 8); // buckets; the busiest shows what a node carries
 // (3)
-const BEAT: Span = Span::millis(50);
-const OVERDUE_MULTIPLE: f64 = 4.0;
-const OVERDUE_LEAST: Span = Span::millis(150);
+const BEAT: Span = Span::millis(50); // well under any target time, and cheap
+const OVERDUE_MULTIPLE: f64 = 4.0; // of the sending time: few sound pulls take longer, even at a busy cache
+const OVERDUE_LEAST: Span = Span::millis(150); // for the way to the origin and back
+const UNSEEN: f64 = 0.5; // of the target time stands in for a sending time not yet seen
+const SENDING_WEIGHT: f64 = 0.02; // a hit's in the mean of its content type: sizes vary much
 // (4)
-const ROOM_START: f64 = 24.0; // over all routers that share what is behind
-const ROOM_LEAST: f64 = 3.0;
-const ROOM_CUT: f64 = 0.97;
-const ROOM_STEP: f64 = 0.5;
+const ROOM_START: f64 = 24.0; // pulls, over all routers that share it; a guess that mends both ways
+const ROOM_LEAST: f64 = 3.0; // fewer would show too few answers to widen again
+const ROOM_CUT: f64 = 0.97; // a beat; in proportion to slowness was no better
+const ROOM_STEP: f64 = 0.5; // a beat
+const IN_USE: f64 = 0.7; // of the room; a gate that is not in use learns nothing from quick answers
 const CACHE_SLOW: f64 = 0.55; // all three: part of the target time that may go by there
-const CHEAP_FROM: f64 = 0.5;
-const DEAR_FROM: f64 = 0.95;
-const SPREAD: f64 = 2.0;
-const SPREAD_LEAST: f64 = 8.0;
-const BACK_IN: Span = Span::millis(400);
-// (5) Clocks are read once a round: a copy made at the very moment of a purge is not trusted.
-const PURGE_MARGIN: Span = Span::millis(5);
-// (6)
-const FILL_FAILURES: u32 = 2;
-const LINK_SLOW: f64 = 0.45;
-const ORIGIN_SLOW: f64 = 0.8;
-// What a failure counts for beside the slow answers that it stands among.
-const FAILED_RATIO: f64 = 4.0;
+const LINK_SLOW: f64 = 0.45; // less than at a cache: a fill on a full link delays all others
+const ORIGIN_SLOW: f64 = 0.8; // 0.5 to 3.0 tried; above 0.8 kartli-tours jams
+const FAILED_RATIO: f64 = 4.0; // what a failure counts for beside the slow answers that it stands among
+const CHEAP_FROM: f64 = 0.5; // of the room: where the cheapest are first turned away; 0.75 was no better
+const DEAR_FROM: f64 = 0.95; // and the dearest
+const ALL_FROM: f64 = 1.1; // and everyone
+const SPREAD: f64 = 2.0; // times its part of our pulls, at which a home is left; 1.5 keeps parts twice
+const SPREAD_LEAST: f64 = 8.0; // pulls; at 4 homes were left in ordinary traffic
+const BACK_IN: Span = Span::millis(400); // half to one and a half of it, so as not to come back together
+const PURGE_MARGIN: Span = Span::millis(5); // (5) a copy made at the very moment of a purge is not trusted
+const FILL_FAILURES: u32 = 2; // (6) then only copies that are held are looked for
 
 impl Brain {
     pub fn open(profile: ServiceProfile, seed: u64, now: Moment) -> Brain {
@@ -129,7 +128,7 @@
         if self.listing.is_none() {
             // These outlive a restart: what was sent before its news came may have met the cold process.
             self.sent = Ring::new(cold.window * 0.1, 11);
-            self.done = Ring::new(Span::millis(2_000), 8);
+            self.done = Ring::new(SEEN_FOR.0, SEEN_FOR.1);
         }
         (self.listing, self.cold) = (Some(listing), cold);
     }
@@ -225,7 +224,7 @@
     /// (4) By chance, so that routers that know nothing of each other don't swing together.
     fn lets(&mut self, charge: f64, cheap: f64, chance: f64) -> bool {
         let from = DEAR_FROM + (CHEAP_FROM - DEAR_FROM) * cheap;
-        let lets = cheap < 0.0 || chance >= ((self.used + charge) / self.room - from) / (1.1 - from);
+        let lets = cheap < 0.0 || chance >= ((self.used + charge) / self.room - from) / (ALL_FROM - from);
         self.used += if lets { charge } else { 0.0 };
         lets
     }
@@ -242,7 +241,7 @@
     fn beat(&mut self, now: Moment) {
         if self.is_slow(now) {
             self.room = (self.room * ROOM_CUT).max(ROOM_LEAST);
-        } else if self.used > self.room * 0.7 && self.shown.count(now) > 0.0 {
+        } else if self.used > self.room * IN_USE && self.shown.count(now) > 0.0 {
             self.room += ROOM_STEP;
         }
     }
@@ -265,8 +264,7 @@
 
 impl Desk {
     fn open(profile: ServiceProfile) -> Desk {
-        // Targets stand in for sizes not yet seen.
-        let trade = |c: &Content| Trade { content: c.clone(), sending: c.target.seconds() * 0.5 };
+        let trade = |c: &Content| Trade { content: c.clone(), sending: c.target.seconds() * UNSEEN };
         let trades = profile.contents.iter().map(trade).collect();
         let edge_tau = EDGE_TAU_START * profile.own_routers();
         let parent_tau = PARENT_TAU_START * f64::from(profile.routers.max(1));
@@ -348,8 +346,8 @@
     }
 
     /// (6) Guards the link in and the origin, each against more fills than come back in time. What does not
-    /// pass the link's gate is only looked for at its cache, what does not pass the origin's at its parent too.
-    /// Fills are counted by the odds, since nothing tells beforehand which pulls will need one.
+    /// pass the link's gate is only looked for at its cache, and what does not pass the origin's at its parent
+    /// too. Fills are counted by the odds, since nothing tells beforehand which pulls will need one.
     fn pass_gates(&mut self, dl: DlIx, post: &mut Post) {
         let Some(Some(held)) = self.dls.get(dl.0 as usize) else { return };
         // A fill that leaves no copy serves one download only.
@@ -397,7 +395,7 @@
         }
     }
 
-    /// Cheap, up to 1, is what earns little for its sending, told or seen. What runs at the origin takes none here.
+    /// Cheap, up to 1, is what earns little for its sending, told or seen; what runs at the origin takes none.
     fn cheap(&self, held: &Dl) -> f64 {
         let earns = |t: &Trade| t.content.benefit / t.sending.max(0.001);
         let trade = &self.trades[held.what.content.0 as usize];
@@ -493,8 +491,8 @@
         post.send(To::Node(best.node), Note::Ask(ask));
     }
 
-    /// Where it may be, the parent that has granted a fill is asked itself: guards against a zone whose caches are
-    /// all gone. Merely full or cold ones are no reason, since the parent has its other zones to fill.
+    /// Where it may be, the parent that has granted a fill is asked itself: guards against a zone whose caches
+    /// are all gone. Merely full or cold ones are no reason, since the parent has its other zones to fill.
     fn pass_by(&mut self, dl: DlIx, post: &mut Post) {
         let Some(Some(held)) = self.dls.get(dl.0 as usize) else { return };
         let none_left = self.own_caches().all(|l| held.failed.contains(&l.node)) && self.profile.may_bypass;
@@ -648,7 +646,7 @@
         let trade = &mut self.trades[held.what.content.0 as usize];
         if hit && (told || self.out[was.node.0 as usize] <= 2) {
             let sending = if told { weight } else { end.took.seconds() };
-            trade.sending += 0.02 * (sending - trade.sending);
+            trade.sending += SENDING_WEIGHT * (sending - trade.sending);
         }
         let target = trade.content.target + Span::of_seconds(weight * trade.content.target_stretch);
         let ratio = hit.then(|| end.took / target);
@@ -661,7 +659,7 @@
                 _ => Verdict::Unclear,
             };
             let work = if verdict == Verdict::Good { weight } else { 0.0 };
-            // What may have reached the source stays charged, also where it only said that it lacks the object.
+            // What may have reached the source stays charged, also where it only lacked the object.
             let spared = hit || matches!(end.ending, Ending::NotSent | Ending::NoConnection);
             let charge = Some(if spared { 0.0 } else { weight });
             post.send(To::Node(source), Note::Over { dl, verdict, ratio: None, charge, work });
