--- a/src/brain.rs
+++ b/src/brain.rs
@@ -345,9 +345,9 @@
         nodes.max_by(|a, b| draw(a).total_cmp(&draw(b))).copied()
     }
 
-    /// (6) Guards the link in and the origin, each against more fills than come back in time. What does not
-    /// pass the link's gate is only looked for at its cache, and what does not pass the origin's at its parent
-    /// too. Fills are counted by the odds, since nothing tells beforehand which pulls will need one.
+    /// (6) Guards the link in and the origin, each against more fills than come back in time. What fails
+    /// to pass the link's gate is only looked for at its cache, what fails at the origin's at its parent too.
+    /// Fills are counted by the odds, since nothing tells beforehand which pulls will need one.
     fn pass_gates(&mut self, dl: DlIx, post: &mut Post) {
         let Some(Some(held)) = self.dls.get(dl.0 as usize) else { return };
         // A fill that leaves no copy serves one download only.
@@ -395,7 +395,7 @@
         }
     }
 
-    /// Cheap, up to 1, is what earns little for its sending, told or seen; what runs at the origin takes none.
+    /// Cheap, up to 1, is what earns little for its sending, told or seen; writes take none.
     fn cheap(&self, held: &Dl) -> f64 {
         let earns = |t: &Trade| t.content.benefit / t.sending.max(0.001);
         let trade = &self.trades[held.what.content.0 as usize];
@@ -491,7 +491,7 @@
         post.send(To::Node(best.node), Note::Ask(ask));
     }
 
-    /// Where it may be, the parent that has granted a fill is asked itself: guards against a zone whose caches
+    /// Where it may be, the parent that has granted a fill is asked itself: guards against zones whose caches
     /// are all gone. Merely full or cold ones are no reason, since the parent has its other zones to fill.
     fn pass_by(&mut self, dl: DlIx, post: &mut Post) {
         let Some(Some(held)) = self.dls.get(dl.0 as usize) else { return };
