--- a/src/brain.rs
+++ b/src/brain.rs
@@ -30,7 +30,7 @@
 const FAILURES_IN_A_ROW: f64 = 3.0; // hardly chance at the rate of errors of a sound cache
 const DOUBTFUL_FAILURE: f64 = 0.34; // silence on what may be a miss: what is behind the cache may be slow
 const ASIDE_FIRST: Span = Span::millis(1_000); // doubles, so that a trial costs little while a fault lasts
-const ASIDE_MOST: Span = Span::millis(4_000); // so that one that is well again is soon back; 8 s cost case-cache
+const ASIDE_MOST: Span = Span::millis(4_000); // what is well again is soon back; 8 s cost case-cache
 // (2)
 const COLD_MARGIN: f64 = 0.55; // of the allowance; 0.7 came within 85% of a fall on adire-branch-net
 const SEEN_FOR: (Span, usize) = (Span::millis(2_000), 8); // buckets; the busiest shows what a node carries
