--- a/crates/benchlink/src/host.rs
+++ b/crates/benchlink/src/host.rs
@@ -1,10 +1,10 @@
 //! Hosts the instances: each gets its own events and nothing of any other.
 use crate::frame::{Action, Batch, Entry, Malformed, Record, Reply, malformed};
-use crate::settings::{Kinds, read_settings};
 use harestage::brain::Brain;
 use harestage::door::{Event, Order, Pull, Register};
 use harestage::state::*;
 use harestage::time::{Moment, Span};
+use harestage_profile::{Kinds, read_settings};
 use std::collections::BTreeMap;
 use std::panic::{AssertUnwindSafe, catch_unwind};
 
--- a/crates/benchlink/src/lib.rs
+++ b/crates/benchlink/src/lib.rs
@@ -1,4 +1,3 @@
 //! The bench's wire on one side, the harestage core on the other. Decides nothing.
 pub mod frame;
 pub mod host;
-pub mod settings;
--- a/crates/benchlink/src/settings.rs
+++ b/crates/profile/src/lib.rs
@@ -1,4 +1,5 @@
-//! The settings text of an instance, read into the core's `ServiceProfile`.
+//! The settings object of a router, read into the core's `ServiceProfile`. Bench and router share this reader, so
+//! that both give the core the same profile.
 use harestage::door::{Content, ServiceProfile};
 use harestage::state::{Circle, Repeat};
 use harestage::time::Span;
@@ -69,15 +70,53 @@
 }
 
 /// The machine kinds that are no caches, by their places.
-#[derive(Clone, Copy)]
+#[derive(Clone, Copy, Debug)]
 pub struct Kinds {
     pub parent: Option<u8>,
     pub origin: Option<u8>,
 }
 
+/// What the settings say of the network and of names, which the core never sees.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Outside {
+    /// The names of content types, zones and machine kinds, by the index that the core knows them by.
+    pub contents: Vec<String>,
+    pub zones: Vec<String>,
+    pub kinds: Vec<String>,
+    pub connect_within: Span,
+    pub idle_closes_after: Span,
+    /// Pulls that one connection carries at once.
+    pub pulls_per_connection: usize,
+    /// Downloads that a router may hold.
+    pub most_held: usize,
+}
+
 pub fn read_settings(text: &[u8]) -> Read<(ServiceProfile, Kinds)> {
     let json: Value = serde_json::from_slice(text).map_err(|e| format!("settings are not JSON: {e}"))?;
-    let top = At { value: &json, path: String::new() };
+    read_profile(&json)
+}
+
+pub fn read_outside(json: &Value) -> Read<Outside> {
+    let top = At { value: json, path: String::new() };
+    let allowed = top.need("Allowed")?;
+    let names = |key: &str| -> Read<Vec<String>> {
+        top.need(key)?.list()?.iter().map(|at| at.word().map(str::to_string)).collect()
+    };
+    let contents = top.need("Classes")?.list()?;
+    let contents = contents.iter().map(|c| c.need("Name")?.word().map(str::to_string));
+    Ok(Outside {
+        contents: contents.collect::<Read<_>>()?,
+        zones: names("Localities")?,
+        kinds: names("Shapes")?,
+        connect_within: allowed.need("ConnectTimeout")?.span()?,
+        idle_closes_after: allowed.need("IdleClose")?.span()?,
+        pulls_per_connection: allowed.need("StreamsPerConn")?.at_least_one()? as usize,
+        most_held: allowed.need("MostHeld")?.at_least_one()? as usize,
+    })
+}
+
+pub fn read_profile(json: &Value) -> Read<(ServiceProfile, Kinds)> {
+    let top = At { value: json, path: String::new() };
     if !json.is_object() {
         return Err("settings are not a JSON object".into());
     }
--- /dev/null
+++ b/crates/router/src/program/config.rs
@@ -0,0 +1,75 @@
+//! The one place where configuration is read, checked and given defaults. Every complaint names the key.
+use super::limits::Limits;
+use crate::protocol::feed::{Told, read_known};
+use harestage::door::ServiceProfile;
+use harestage_profile::{Kinds, Outside, read_outside, read_profile};
+use serde_json::Value;
+use std::net::SocketAddr;
+
+pub const CONFIG_VARIABLE: &str = "BALANCER_CONFIG";
+
+const DEFAULT_MEMORY_MB: u64 = 192;
+const DEFAULT_SOCKETS: u64 = 1_024;
+/// Fewer can't hold a listener, the feed, a client and a node.
+const LEAST_SOCKETS: u64 = 16;
+const LEAST_MEMORY_MB: u64 = 16;
+
+#[derive(Debug)]
+pub struct Start {
+    pub name: String,
+    pub listen: SocketAddr,
+    pub seed: u64,
+    pub feed: SocketAddr,
+    pub known_last: u64,
+    pub known: Vec<Told>,
+    pub profile: ServiceProfile,
+    pub kinds: Kinds,
+    pub outside: Outside,
+    pub limits: Limits,
+}
+
+pub fn read_file(path: &str) -> Result<Start, String> {
+    let text = std::fs::read(path).map_err(|why| format!("configuration {path} can't be read: {why}"))?;
+    read(&text)
+}
+
+pub fn read(text: &[u8]) -> Result<Start, String> {
+    let json: Value =
+        serde_json::from_slice(text).map_err(|why| format!("configuration is not JSON: {why}"))?;
+    if !json.is_object() {
+        return Err("configuration is not a JSON object".into());
+    }
+    let need =
+        |key: &str| json.get(key).filter(|v| !v.is_null()).ok_or(format!("needed key {key} is missing"));
+    let text = |key: &str| need(key)?.as_str().ok_or(format!("key {key} is not a text"));
+    let address = |key: &str| {
+        let text = text(key)?;
+        text.parse::<SocketAddr>().map_err(|_| format!("key {key} is not an address: {text}"))
+    };
+    let limit = |key: &str, absent: u64, least: u64| {
+        let Some(value) = json.get("limits").and_then(|l| l.get(key)) else { return Ok(absent) };
+        let number = value.as_f64().filter(|n| *n >= least as f64);
+        number.map(|n| n as u64).ok_or(format!("key limits.{key} is not a number of {least} or more"))
+    };
+    let seed = text("seed")?;
+    let seed = u64::from_str_radix(seed, 16).map_err(|_| format!("key seed is not a hex number: {seed}"))?;
+    let (known_last, known) = read_known(need("known")?)?;
+    let settings = need("settings")?;
+    let in_settings = |why: String| format!("settings: {why}");
+    let (profile, kinds) = read_profile(settings).map_err(in_settings)?;
+    let outside = read_outside(settings).map_err(in_settings)?;
+    let memory_mb = limit("memory_mb", DEFAULT_MEMORY_MB, LEAST_MEMORY_MB)? as usize;
+    let sockets = limit("sockets", DEFAULT_SOCKETS, LEAST_SOCKETS)? as usize;
+    Ok(Start {
+        name: text("name")?.to_string(),
+        listen: address("listen")?,
+        seed,
+        feed: address("feed")?,
+        known_last,
+        known,
+        limits: Limits::new(memory_mb, sockets, &outside),
+        profile,
+        kinds,
+        outside,
+    })
+}
--- /dev/null
+++ b/crates/router/src/program/limits.rs
@@ -0,0 +1,88 @@
+//! All sizes, counts and times that bound the router, in one type: filled at start from the configuration and
+//! handed down.
+use harestage_profile::Outside;
+use std::time::Duration;
+
+/// The protocol's own bounds.
+const BODY: usize = 240_000;
+const WRITE_BODY: usize = 48_000;
+const OPEN_ON_A_CONNECTION: usize = 32;
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct Limits {
+    /// Connections from clients; past it none is accepted.
+    pub clients: usize,
+    /// Connections to nodes; past it a pull that needs a new one is not sent.
+    pub node_connections: usize,
+    /// Downloads that are not answered yet; past it no client is read.
+    pub downloads: usize,
+    /// Open downloads on one connection.
+    pub client_open: usize,
+    pub client_items: usize,
+    pub client_item_bytes: usize,
+    /// Answers waiting on one connection; past it that client is not read.
+    pub client_unsent_bytes: usize,
+    /// Answers waiting on all connections; past it the client with the most is ended.
+    pub unsent_bytes: usize,
+    /// A client that takes nothing for as long is ended.
+    pub client_stall: Duration,
+    pub client_idle: Duration,
+    pub node_items: usize,
+    pub body_bytes: usize,
+    /// Pulls that one connection carries at once.
+    pub node_pulls: usize,
+    pub connect_within: Duration,
+    /// A connection on which a pull got nothing for as long before it was given up is not used again.
+    pub node_silence: Duration,
+    /// An idle connection is closed after it, before the node does so.
+    pub node_idle: Duration,
+    pub feed_silence: Duration,
+    pub feed_pause: Duration,
+    pub feed_line_bytes: usize,
+    /// News waiting for the routing task; past it those who bring them wait.
+    pub inbox: usize,
+    /// Log lines waiting to be written; past it lines are dropped and counted.
+    pub log_lines: usize,
+    pub read_buffer: usize,
+    pub accept_pause: Duration,
+    pub watch_every: Duration,
+    /// After a SIGTERM: serve on at least, end when as long without a download, end at the latest.
+    pub drain_least: Duration,
+    pub drain_quiet: Duration,
+    pub drain_most: Duration,
+}
+
+impl Limits {
+    pub fn new(memory_mb: usize, sockets: usize, outside: &Outside) -> Limits {
+        let memory = memory_mb << 20;
+        Limits {
+            clients: (sockets / 2).max(1),
+            node_connections: (sockets / 4).max(1),
+            downloads: (memory / 4 / WRITE_BODY).clamp(1, outside.most_held.max(1)),
+            client_open: OPEN_ON_A_CONNECTION,
+            client_items: 8,
+            client_item_bytes: WRITE_BODY,
+            client_unsent_bytes: 4 * BODY,
+            unsent_bytes: (memory / 4).max(2 * BODY),
+            client_stall: Duration::from_secs(6),
+            client_idle: Duration::from_secs(60),
+            node_items: 8,
+            body_bytes: BODY,
+            node_pulls: outside.pulls_per_connection,
+            connect_within: Duration::from_micros(outside.connect_within.as_micros()),
+            node_silence: Duration::from_millis(250),
+            node_idle: Duration::from_micros(outside.idle_closes_after.as_micros()).mul_f64(0.8),
+            feed_silence: Duration::from_millis(2_500),
+            feed_pause: Duration::from_millis(200),
+            feed_line_bytes: 1 << 20,
+            inbox: 64,
+            log_lines: 1_024,
+            read_buffer: 16 << 10,
+            accept_pause: Duration::from_millis(20),
+            watch_every: Duration::from_millis(500),
+            drain_least: Duration::from_millis(900),
+            drain_quiet: Duration::from_millis(300),
+            drain_most: Duration::from_millis(3_500),
+        }
+    }
+}
--- /dev/null
+++ b/crates/router/src/protocol/fields.rs
@@ -0,0 +1,59 @@
+//! The list `name=value,name=value`, with `-` for none.
+use bytes::Bytes;
+
+/// Sixteen hex digits, kept as they were written.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, Debug)]
+pub struct Hex([u8; 16]);
+
+impl Hex {
+    pub fn read(text: &[u8]) -> Option<Hex> {
+        let digits: [u8; 16] = text.try_into().ok()?;
+        digits.iter().all(u8::is_ascii_hexdigit).then_some(Hex(digits))
+    }
+
+    pub fn number(&self) -> u64 {
+        let digits = std::str::from_utf8(&self.0).unwrap_or_default();
+        u64::from_str_radix(digits, 16).unwrap_or_default()
+    }
+
+    pub fn as_str(&self) -> &str {
+        std::str::from_utf8(&self.0).unwrap_or_default()
+    }
+}
+
+/// Names and values in their order; what can't be parted is passed over.
+pub fn read(list: &Bytes) -> impl Iterator<Item = (&[u8], Bytes)> {
+    list.split(|b| *b == b',').filter_map(|part| {
+        let at = part.iter().position(|b| *b == b'=')?;
+        Some((&part[..at], list.slice_ref(&part[at + 1..])))
+    })
+}
+
+pub fn number<T: std::str::FromStr>(value: &Bytes) -> Option<T> {
+    std::str::from_utf8(value).ok()?.parse().ok()
+}
+
+/// Gathers a list to be sent.
+#[derive(Default)]
+pub struct Fields(String);
+
+impl Fields {
+    pub fn with(mut self, name: &str, value: impl std::fmt::Display) -> Self {
+        use std::fmt::Write;
+        let comma = if self.0.is_empty() { "" } else { "," };
+        let _ = write!(self.0, "{comma}{name}={value}");
+        self
+    }
+
+    pub fn with_some(self, name: &str, value: Option<impl std::fmt::Display>) -> Self {
+        match value {
+            Some(value) => self.with(name, value),
+            None => self,
+        }
+    }
+
+    /// An empty list is written as it is agreed with that peer.
+    pub fn or(self, empty: &str) -> String {
+        if self.0.is_empty() { empty.to_string() } else { self.0 }
+    }
+}
--- /dev/null
+++ b/crates/router/src/protocol/resp.rs
@@ -0,0 +1,184 @@
+//! RESP arrays of bulk strings, decoded bit by bit as they come in, within bounds.
+use bytes::Bytes;
+use std::fmt;
+
+pub const LINE_END: &[u8] = b"\r\n";
+
+/// `*` or `$`, the longest number that is ever needed, and the line end.
+const LONGEST_LINE: usize = 16;
+
+/// Where a message can't be told from the next any more: the connection has to end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fault {
+    Kind(u8),
+    Length,
+    TooManyItems,
+    TooLong,
+    LineEnd,
+    Tag,
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        match self {
+            Fault::Kind(byte) => write!(f, "unexpected byte 0x{byte:02x} where an item starts"),
+            Fault::Length => write!(f, "a length that is no number of 0 or more"),
+            Fault::TooManyItems => write!(f, "an array of too many items"),
+            Fault::TooLong => write!(f, "an item past the bound"),
+            Fault::LineEnd => write!(f, "an item without its line end"),
+            Fault::Tag => write!(f, "a message without a usable tag"),
+        }
+    }
+}
+
+/// What one peer may send.
+#[derive(Clone, Copy, Debug)]
+pub struct Bounds {
+    pub items: usize,
+    pub item_bytes: usize,
+}
+
+enum Stage {
+    Array,
+    Length,
+    Item,
+    ItemEnd,
+}
+
+/// Takes bytes in pieces of any size and gives whole arrays out.
+pub struct Decoder {
+    bounds: Bounds,
+    buffer: Vec<u8>,
+    start: usize,
+    end: usize,
+    stage: Stage,
+    left: usize,
+    items: Vec<Bytes>,
+    /// The item being read, at its full length, and how much of it is there.
+    item: Vec<u8>,
+    got: usize,
+}
+
+impl Decoder {
+    pub fn new(bounds: Bounds, buffer: usize) -> Decoder {
+        let buffer = vec![0; buffer.max(LONGEST_LINE)];
+        let (items, item) = (Vec::new(), Vec::new());
+        Decoder { bounds, buffer, start: 0, end: 0, stage: Stage::Array, left: 0, items, item, got: 0 }
+    }
+
+    /// Where the next bytes belong. A long item is read straight to where it stays.
+    pub fn room(&mut self) -> &mut [u8] {
+        if matches!(self.stage, Stage::Item) && self.start == self.end {
+            return &mut self.item[self.got..];
+        }
+        self.buffer.copy_within(self.start..self.end, 0);
+        (self.start, self.end) = (0, self.end - self.start);
+        &mut self.buffer[self.end..]
+    }
+
+    /// So many bytes were written to `room`.
+    pub fn filled(&mut self, bytes: usize) {
+        if matches!(self.stage, Stage::Item) && self.start == self.end {
+            self.got += bytes;
+        } else {
+            self.end += bytes;
+        }
+    }
+
+    /// Whether a message has begun to come in.
+    pub fn is_inside(&self) -> bool {
+        self.start != self.end || !matches!(self.stage, Stage::Array)
+    }
+
+    /// The next whole array, if there is one.
+    pub fn take(&mut self) -> Result<Option<Vec<Bytes>>, Fault> {
+        loop {
+            match self.stage {
+                Stage::Array => {
+                    let Some(items) = self.length(b'*')? else { return Ok(None) };
+                    if items > self.bounds.items {
+                        return Err(Fault::TooManyItems);
+                    }
+                    self.left = items;
+                    self.items = Vec::with_capacity(items);
+                    if items == 0 {
+                        return Ok(Some(Vec::new()));
+                    }
+                    self.stage = Stage::Length;
+                }
+                Stage::Length => {
+                    let Some(length) = self.length(b'$')? else { return Ok(None) };
+                    if length > self.bounds.item_bytes {
+                        return Err(Fault::TooLong);
+                    }
+                    (self.item, self.got) = (vec![0; length], 0);
+                    self.stage = Stage::Item;
+                }
+                Stage::Item => {
+                    let more = (self.item.len() - self.got).min(self.end - self.start);
+                    let part = &self.buffer[self.start..self.start + more];
+                    self.item[self.got..self.got + more].copy_from_slice(part);
+                    (self.start, self.got) = (self.start + more, self.got + more);
+                    if self.got < self.item.len() {
+                        return Ok(None);
+                    }
+                    self.stage = Stage::ItemEnd;
+                }
+                Stage::ItemEnd => {
+                    let Some(end) = self.buffer[self.start..self.end].get(..LINE_END.len()) else {
+                        return Ok(None);
+                    };
+                    if end != LINE_END {
+                        return Err(Fault::LineEnd);
+                    }
+                    self.start += LINE_END.len();
+                    self.items.push(Bytes::from(std::mem::take(&mut self.item)));
+                    self.left -= 1;
+                    if self.left == 0 {
+                        self.stage = Stage::Array;
+                        return Ok(Some(std::mem::take(&mut self.items)));
+                    }
+                    self.stage = Stage::Length;
+                }
+            }
+        }
+    }
+
+    /// The number on a line that starts with `kind`, once the line is there.
+    fn length(&mut self, kind: u8) -> Result<Option<usize>, Fault> {
+        let line = &self.buffer[self.start..self.end];
+        match line.first() {
+            None => return Ok(None),
+            Some(byte) if *byte != kind => return Err(Fault::Kind(*byte)),
+            Some(_) => {}
+        }
+        let Some(at) = line.iter().take(LONGEST_LINE).position(|b| *b == b'\r') else {
+            return if line.len() < LONGEST_LINE { Ok(None) } else { Err(Fault::Length) };
+        };
+        let Some(after) = line.get(at + 1) else { return Ok(None) };
+        if *after != b'\n' {
+            return Err(Fault::LineEnd);
+        }
+        let digits = &line[1..at];
+        if digits.is_empty() || !digits.iter().all(u8::is_ascii_digit) {
+            return Err(Fault::Length);
+        }
+        let digits = std::str::from_utf8(digits).map_err(|_| Fault::Length)?;
+        let number = digits.parse().map_err(|_| Fault::Length)?;
+        self.start += at + 1 + 1;
+        Ok(Some(number))
+    }
+}
+
+/// The head of an array whose last item is `body`; the line end after the body is left to the writer.
+pub fn head(items: &[&[u8]], body: usize) -> Bytes {
+    let mut head = Vec::with_capacity(32 + items.iter().map(|i| i.len() + LONGEST_LINE).sum::<usize>());
+    head.extend(format!("*{}\r\n", items.len() + 1).as_bytes());
+    for item in items {
+        head.extend(format!("${}\r\n", item.len()).as_bytes());
+        head.extend(*item);
+        head.extend(LINE_END);
+    }
+    head.extend(format!("${body}\r\n").as_bytes());
+    Bytes::from(head)
+}
--- /dev/null
+++ b/crates/router/src/routing/clock.rs
@@ -0,0 +1,29 @@
+//! The router's clock: Unix time as it was at the start, carried on by the monotonic clock, so that a `Moment`
+//! never jumps and the protocol's Unix milliseconds need no more than a factor.
+use harestage::time::Moment;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+#[derive(Clone, Copy, Debug)]
+pub struct Clock {
+    started: Instant,
+    unix_micros: u64,
+}
+
+impl Clock {
+    pub fn start() -> Clock {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        Clock { started: Instant::now(), unix_micros: unix.as_micros() as u64 }
+    }
+
+    pub fn now(&self) -> Moment {
+        Moment::at_micros(self.unix_micros + self.started.elapsed().as_micros() as u64)
+    }
+
+    pub fn instant(&self, at: Moment) -> Instant {
+        self.started + Duration::from_micros(at.micros().saturating_sub(self.unix_micros))
+    }
+}
+
+pub fn unix_ms(ms: u64) -> Moment {
+    Moment::at_micros(ms.saturating_mul(1_000))
+}
--- /dev/null
+++ b/crates/router/src/routing/mod.rs
@@ -0,0 +1,398 @@
+//! The one owner of the core. What happens outside comes in as `News`, what the core orders goes out through
+//! `Outward`; time-outs, deadlines and the register of what is open are kept here. Nothing here decides.
+pub mod clock;
+pub mod nodes;
+pub mod task;
+
+use crate::protocol::client::{ToClient, Wish};
+use crate::protocol::feed::Told;
+use crate::protocol::node::{Answer, Request, Word};
+use crate::protocol::{Packet, fields::Hex, node};
+use harestage::brain::Brain;
+use harestage::door::{Event, Order, Pull, Register, ServiceProfile};
+use harestage::state::*;
+use harestage::time::{Moment, Span};
+use harestage_profile::{Kinds, Outside};
+use nodes::{Contact, Contacts, NodeNo};
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, HashMap};
+
+pub type ClientNo = u64;
+pub type PullNo = u64;
+type DlNo = u64;
+
+/// How long after its deadline a download waits for the core's answer before it is abandoned here.
+const ANSWER_GRACE: Span = Span::millis(20);
+
+/// A pull that will bring no answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Loss {
+    /// Nothing of it can have run: the connection never came up, or ended before it was written whole.
+    NeverLeft,
+    /// It was written whole: a break proves nothing.
+    Broken,
+}
+
+#[derive(Clone, Debug)]
+pub enum News {
+    Asked { client: ClientNo, tag: u64, wish: Wish, at: Moment },
+    NeverMind { client: ClientNo, tag: u64 },
+    HungUp { client: ClientNo },
+    Answered { pull: PullNo, answer: Answer },
+    Lost { pull: PullNo, loss: Loss },
+    Told(Told),
+}
+
+/// Where answers and pulls go. Every call only queues: none of them waits.
+pub trait Outward {
+    fn answer(&mut self, client: ClientNo, tag: u64, answer: ToClient);
+    /// False: there is no way to that node now, and nothing was queued.
+    fn pull(&mut self, node: NodeNo, contact: &Contact, pull: PullNo, id: Hex, packet: Packet) -> bool;
+    /// Gives a pull up. True: it had not been written whole, and now never will be.
+    fn cancel(&mut self, node: NodeNo, pull: PullNo) -> bool;
+    /// Takes a pull out of its queue. True: not a byte of it had been written.
+    fn take_back(&mut self, node: NodeNo, pull: PullNo) -> bool;
+    /// Nothing new goes over the connections that this node has now.
+    fn renew(&mut self, node: NodeNo);
+}
+
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Bell {
+    Core(u32),
+    PullTimesOut(PullNo),
+    Deadline(DlNo),
+    Overdue(DlNo),
+}
+
+struct Out {
+    dl: DlNo,
+    number: u8,
+    node: NodeNo,
+    source: Option<NodeNo>,
+    sent: Moment,
+}
+
+struct Held {
+    client: ClientNo,
+    tag: u64,
+    wish: Wish,
+    content: ContentIx,
+    leaves_at: Moment,
+    answered: bool,
+    /// All its pulls, by the numbers that the core gives them.
+    pulls: Vec<PullNo>,
+}
+
+pub struct Routing {
+    brain: Brain,
+    register: Register,
+    kinds: Kinds,
+    outside: Outside,
+    contents: HashMap<Vec<u8>, ContentIx>,
+    contacts: Contacts,
+    held: HashMap<DlNo, Held>,
+    open: HashMap<(ClientNo, u64), DlNo>,
+    out: HashMap<PullNo, Out>,
+    bells: BinaryHeap<Reverse<(Moment, u64, Bell)>>,
+    events: Vec<Event>,
+    rung: u64,
+    last_dl: DlNo,
+    last_pull: PullNo,
+}
+
+impl Routing {
+    pub fn open(profile: ServiceProfile, kinds: Kinds, outside: Outside, seed: u64, now: Moment) -> Routing {
+        let names = outside.contents.iter().enumerate();
+        Routing {
+            brain: Brain::open(profile, seed, now),
+            register: Register::default(),
+            kinds,
+            contents: names.map(|(at, n)| (n.clone().into_bytes(), ContentIx(at as u16))).collect(),
+            outside,
+            contacts: Contacts::default(),
+            held: HashMap::new(),
+            open: HashMap::new(),
+            out: HashMap::new(),
+            bells: BinaryHeap::new(),
+            events: Vec::new(),
+            rung: 0,
+            last_dl: 0,
+            last_pull: 0,
+        }
+    }
+
+    /// Downloads that are not answered yet.
+    pub fn unanswered(&self) -> usize {
+        self.open.len()
+    }
+
+    /// When `step` has to be called at the latest, news or none.
+    pub fn next_bell(&self) -> Option<Moment> {
+        self.bells.peek().map(|Reverse((at, _, _))| *at)
+    }
+
+    /// Takes in what has come up to `now` and carries out what the core orders on it. News go before bells, so
+    /// that an answer that is here in time is not lost to a time-out of the same turn.
+    pub fn step(&mut self, now: Moment, news: impl Iterator<Item = News>, outward: &mut dyn Outward) {
+        for news in news {
+            self.take_in(news, now, outward);
+        }
+        while let Some(Reverse((at, _, bell))) = self.bells.peek().copied() {
+            if at > now {
+                break;
+            }
+            self.bells.pop();
+            self.ring(bell, now, outward);
+        }
+        let mut orders = Vec::new();
+        while !self.events.is_empty() {
+            self.brain.turn(now, std::mem::take(&mut self.events), &mut orders);
+            for order in orders.drain(..) {
+                self.carry_out(order, now, outward);
+            }
+        }
+    }
+
+    fn take_in(&mut self, news: News, now: Moment, outward: &mut dyn Outward) {
+        match news {
+            News::Asked { client, tag, wish, at } => self.asked(client, tag, wish, at, outward),
+            News::NeverMind { client, tag } => {
+                if let Some(dl) = self.open.get(&(client, tag)).copied() {
+                    self.left(dl);
+                }
+            }
+            News::HungUp { client } => {
+                let of_client = self.open.iter().filter(|((c, _), _)| *c == client);
+                let mut gone: Vec<DlNo> = of_client.map(|(_, dl)| *dl).collect();
+                gone.sort_unstable();
+                gone.into_iter().for_each(|dl| self.left(dl));
+            }
+            News::Answered { pull, answer } => self.pull_answered(pull, answer, now, outward),
+            News::Lost { pull, loss } => {
+                let ending = if loss == Loss::Broken { Ending::Broken } else { Ending::NoConnection };
+                self.ended(pull, ending, Remark::Nothing, Span::ZERO, now);
+            }
+            News::Told(told) => self.told(told, now, outward),
+        }
+    }
+
+    fn asked(&mut self, client: ClientNo, tag: u64, wish: Wish, at: Moment, outward: &mut dyn Outward) {
+        let Some(content) = self.contents.get(wish.content.as_ref()).copied() else {
+            return outward.answer(client, tag, ToClient::Abandoned);
+        };
+        self.last_dl += 1;
+        let dl = self.last_dl;
+        let leaves_at = at + Span::millis(wish.waits_ms.min(u64::from(u32::MAX)));
+        let download = Download {
+            content,
+            object: ObjectKey(wish.object.number()),
+            part: wish.part,
+            group: wish.group,
+            kilobytes: 0.0,
+            leaves_at,
+            repeat: wish.repeat,
+        };
+        self.held
+            .insert(dl, Held { client, tag, wish, content, leaves_at, answered: false, pulls: Vec::new() });
+        self.open.insert((client, tag), dl);
+        self.set(leaves_at, Bell::Deadline(dl));
+        self.events.push(Event::Arrived { dl: self.register.enter_dl(dl), download });
+    }
+
+    /// The client waits no longer: nothing is owed any more.
+    fn left(&mut self, dl: DlNo) {
+        let Some(held) = self.held.get_mut(&dl).filter(|h| !h.answered) else { return };
+        held.answered = true;
+        self.open.remove(&(held.client, held.tag));
+        self.events.extend(self.register.dl(dl).map(|dl| Event::Left { dl }));
+    }
+
+    fn reply(&mut self, dl: DlNo, answer: ToClient, outward: &mut dyn Outward) {
+        let Some(held) = self.held.get_mut(&dl).filter(|h| !h.answered) else { return };
+        held.answered = true;
+        self.open.remove(&(held.client, held.tag));
+        outward.answer(held.client, held.tag, answer);
+    }
+
+    fn pull_answered(&mut self, pull: PullNo, answer: Answer, now: Moment, outward: &mut dyn Outward) {
+        let Some(out) = self.out.get(&pull) else { return };
+        let dl = out.dl;
+        let offered = self.held.get(&dl).is_some_and(|h| h.wish.held.is_some());
+        let ending = match answer.word {
+            Word::Good => Ending::Fulfilled,
+            Word::StillGood if offered => Ending::Fulfilled,
+            Word::StillGood | Word::Failed => Ending::Error,
+            Word::Lacks => Ending::Missed,
+            Word::Full => Ending::Full,
+            Word::TooLate => Ending::NotSent,
+        };
+        if ending == Ending::Fulfilled {
+            let good = match answer.word {
+                Word::StillGood => ToClient::StillGood,
+                _ => ToClient::Fulfilled { body: answer.body },
+            };
+            self.reply(dl, good, outward);
+        }
+        self.ended(pull, ending, answer.remark, Span::of_seconds(answer.first_ms / 1e3), now);
+    }
+
+    fn ended(&mut self, pull: PullNo, ending: Ending, remark: Remark, first_byte: Span, now: Moment) {
+        let Some(out) = self.out.remove(&pull) else { return };
+        let Some(held) = self.held.get(&out.dl) else { return };
+        let Some((dl, node)) = self.register.dl(out.dl).zip(self.register.node(out.node)) else { return };
+        let (closed, took) = (held.answered, now.since(out.sent));
+        let number = out.number;
+        self.events.push(Event::Ended(PullEnd {
+            dl,
+            pull: number,
+            node,
+            ending,
+            remark,
+            closed,
+            took,
+            first_byte,
+        }));
+    }
+
+    fn told(&mut self, told: Told, now: Moment, outward: &mut dyn Outward) {
+        match told {
+            Told::Members { whole, members } => {
+                let mut listings = Vec::with_capacity(members.len());
+                for member in &members {
+                    let said = self.contacts.enter(member, &mut self.register, self.kinds, &self.outside);
+                    if said.replaced {
+                        outward.renew(said.node);
+                    }
+                    if said.listing.phase != Phase::Ready {
+                        self.take_back(
+                            |out, _| out.node == said.node || out.source == Some(said.node),
+                            now,
+                            outward,
+                        );
+                    }
+                    listings.push(said.listing);
+                }
+                let news = if whole { RosterNews::Whole } else { RosterNews::Changes };
+                self.events.push(Event::Roster { news, listings });
+            }
+            Told::Purge { object, group, at_ms } => {
+                let meant = |w: &Wish| object.map_or(w.group == group, |object| w.object.number() == object);
+                self.take_back(|_, held| meant(&held.wish), now, outward);
+                let (object, ago) = (object.map(ObjectKey), now.since(clock::unix_ms(at_ms)));
+                self.events.push(Event::Purged { object, group, ago });
+            }
+        }
+    }
+
+    /// What has not left yet and no longer may: a queued pull must not reach a node that drains, nor ask for a
+    /// copy by limits from before a purge.
+    fn take_back(&mut self, meant: impl Fn(&Out, &Held) -> bool, now: Moment, outward: &mut dyn Outward) {
+        let meant = |out: &Out| self.held.get(&out.dl).is_some_and(|held| meant(out, held));
+        let mut pulls: Vec<(PullNo, NodeNo)> =
+            self.out.iter().filter(|(_, out)| meant(out)).map(|(pull, out)| (*pull, out.node)).collect();
+        pulls.sort_unstable();
+        for (pull, node) in pulls {
+            if outward.take_back(node, pull) {
+                self.ended(pull, Ending::NotSent, Remark::Nothing, Span::ZERO, now);
+            }
+        }
+    }
+
+    fn set(&mut self, at: Moment, bell: Bell) {
+        self.rung += 1;
+        self.bells.push(Reverse((at, self.rung, bell)));
+    }
+
+    fn ring(&mut self, bell: Bell, now: Moment, outward: &mut dyn Outward) {
+        match bell {
+            Bell::Core(bell) => self.events.push(Event::Rang { bell }),
+            Bell::PullTimesOut(pull) => self.time_out(pull, now, outward),
+            Bell::Deadline(dl) => {
+                if let Some(held) = self.held.get(&dl).filter(|h| !h.answered) {
+                    held.pulls.clone().into_iter().for_each(|pull| self.time_out(pull, now, outward));
+                    self.set(now + ANSWER_GRACE, Bell::Overdue(dl));
+                }
+            }
+            // Guards the rule that all are answered against a core that holds one without a pull.
+            Bell::Overdue(dl) => {
+                if self.held.get(&dl).is_some_and(|h| !h.answered) {
+                    self.reply(dl, ToClient::Abandoned, outward);
+                    self.events.extend(self.register.dl(dl).map(|dl| Event::Left { dl }));
+                }
+            }
+        }
+    }
+
+    fn time_out(&mut self, pull: PullNo, now: Moment, outward: &mut dyn Outward) {
+        let Some(node) = self.out.get(&pull).map(|out| out.node) else { return };
+        let never_left = outward.cancel(node, pull);
+        let ending = if never_left { Ending::NotSent } else { Ending::TimedOut };
+        self.ended(pull, ending, Remark::Nothing, Span::ZERO, now);
+    }
+
+    fn carry_out(&mut self, order: Order, now: Moment, outward: &mut dyn Outward) {
+        match order {
+            Order::Pull(pull) => self.pull(pull, now, outward),
+            Order::Cancel { dl, pull: number } => {
+                let dl = self.register.dl_id(dl);
+                let pulls = self.held.get(&dl).map(|held| &held.pulls);
+                let Some(pull) = pulls.and_then(|p| p.get(number as usize)).copied() else { return };
+                let Some(node) = self.out.get(&pull).map(|out| out.node) else { return };
+                let never_left = outward.cancel(node, pull);
+                let ending = if never_left { Ending::NotSent } else { Ending::Cancelled };
+                self.ended(pull, ending, Remark::Nothing, Span::ZERO, now);
+            }
+            Order::Throttle { dl, retry_after } => {
+                let retry_after_ms = retry_after.as_micros().div_ceil(1_000);
+                self.reply(self.register.dl_id(dl), ToClient::Throttled { retry_after_ms }, outward);
+            }
+            Order::Abandon { dl } => self.reply(self.register.dl_id(dl), ToClient::Abandoned, outward),
+            Order::Ring { after, bell } => self.set(now + after, Bell::Core(bell)),
+            // The feed runs from the start, asked for or not.
+            Order::WatchRoster => {}
+            Order::Forget { dl } => {
+                self.held.remove(&self.register.dl_id(dl));
+                self.register.forget_dl(dl);
+            }
+        }
+    }
+
+    fn pull(&mut self, order: Pull, now: Moment, outward: &mut dyn Outward) {
+        let dl = self.register.dl_id(order.dl);
+        let (node, contact) = self.contacts.of(&self.register, order.node);
+        let source = order.source.map(|source| self.contacts.of(&self.register, source));
+        let Some(held) = self.held.get_mut(&dl) else { return };
+        self.last_pull += 1;
+        let (pull, number) = (self.last_pull, held.pulls.len() as u8);
+        held.pulls.push(pull);
+        let until = match order.time_out {
+            Span::ZERO => held.leaves_at,
+            time_out => held.leaves_at.min(now + time_out),
+        };
+        let request = Request {
+            id: held.wish.id,
+            content: &self.outside.contents[held.content.0 as usize],
+            object: held.wish.object,
+            part: held.wish.part,
+            waits_ms: until.since(now).as_micros().div_ceil(1_000).max(1),
+            source: source.map(|(_, contact)| contact.name.as_str()),
+            rank: order.rank,
+            // Rounded down: a copy that is a moment too old will not do, and 0 would mean the usual.
+            oldest_ms: (order.oldest > Span::ZERO).then(|| (order.oldest.as_micros() / 1_000).max(1)),
+            join: order.join,
+            only_held: order.only_held,
+            no_copy: order.no_copy,
+            renew: order.renew,
+            held: held.wish.held.as_ref().and_then(|h| std::str::from_utf8(h).ok()),
+            body: held.wish.body.clone(),
+        };
+        let queued = until > now && outward.pull(node, contact, pull, held.wish.id, node::write(&request));
+        let source = source.map(|(source, _)| source);
+        self.out.insert(pull, Out { dl, number, node, source, sent: now });
+        if !queued {
+            self.ended(pull, Ending::NotSent, Remark::Nothing, Span::ZERO, now);
+        } else if order.time_out > Span::ZERO {
+            self.set(until, Bell::PullTimesOut(pull));
+        }
+    }
+}
--- /dev/null
+++ b/crates/router/src/routing/nodes.rs
@@ -0,0 +1,100 @@
+//! Names and addresses of caches, parents and the origin, as the feed tells them.
+use super::clock::unix_ms;
+use crate::protocol::feed::{Member, MemberState};
+use harestage::door::Register;
+use harestage::state::{Listing, NodeIx, Phase, Role};
+use harestage_profile::{Kinds, Outside};
+use std::collections::HashMap;
+use std::hash::{DefaultHasher, Hash, Hasher};
+use std::net::SocketAddr;
+
+/// A node's number at this router, given out in the order in which the feed first named them.
+pub type NodeNo = u32;
+
+#[derive(Clone, Debug)]
+pub struct Contact {
+    pub name: String,
+    pub address: Option<SocketAddr>,
+    pub phase: Phase,
+    since_ms: u64,
+}
+
+#[derive(Default)]
+pub struct Contacts {
+    known: Vec<Contact>,
+    by_name: HashMap<String, NodeNo>,
+}
+
+/// What a line of the list changed.
+pub struct Relisted {
+    pub node: NodeNo,
+    pub listing: Listing,
+    /// Another process than before stands behind the name.
+    pub replaced: bool,
+}
+
+impl Contacts {
+    pub fn get(&self, node: NodeNo) -> Option<&Contact> {
+        self.known.get(node as usize)
+    }
+
+    pub fn enter(
+        &mut self,
+        member: &Member,
+        register: &mut Register,
+        kinds: Kinds,
+        outside: &Outside,
+    ) -> Relisted {
+        let phase = match member.state {
+            MemberState::Ready => Phase::Ready,
+            MemberState::Draining => Phase::Draining,
+            MemberState::Gone => Phase::Gone,
+        };
+        let told: Option<SocketAddr> = member.address.parse().ok();
+        let node = *self.by_name.entry(member.name.clone()).or_insert_with(|| {
+            let (name, address, since_ms) = (member.name.clone(), told, member.since_ms);
+            self.known.push(Contact { name, address, phase, since_ms });
+            self.known.len() as NodeNo - 1
+        });
+        let contact = &mut self.known[node as usize];
+        let replaced = phase == Phase::Ready
+            && (contact.phase == Phase::Gone
+                || contact.since_ms != member.since_ms
+                || told.is_some() && contact.address != told);
+        contact.address = told.or(contact.address);
+        (contact.phase, contact.since_ms) = (phase, member.since_ms);
+        let kind = place(&outside.kinds, &member.kind).map(|k| k as u8);
+        let listing = Listing {
+            node: register.enter_node(node),
+            stamp: stamp(&member.name),
+            zone: place(&outside.zones, &member.zone).map_or(u16::MAX, |z| z as u16),
+            cell: member.cell,
+            kind: kind.unwrap_or(u8::MAX),
+            scale: member.scale,
+            role: match kind {
+                Some(_) if kind == kinds.origin => Role::Origin,
+                Some(_) if kind == kinds.parent => Role::Parent,
+                _ => Role::Cache,
+            },
+            phase,
+            started: (member.since_ms > 0).then(|| unix_ms(member.since_ms)),
+        };
+        Relisted { node, listing, replaced }
+    }
+
+    pub fn of(&self, register: &Register, node: NodeIx) -> (NodeNo, &Contact) {
+        let no = register.node_id(node);
+        (no, &self.known[no as usize])
+    }
+}
+
+fn place(names: &[String], name: &str) -> Option<usize> {
+    names.iter().position(|n| n == name)
+}
+
+/// The same at every router, since each hashes the same text in the same way.
+fn stamp(name: &str) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    name.hash(&mut hasher);
+    hasher.finish()
+}
--- /dev/null
+++ b/crates/router/src/transport/mod.rs
@@ -0,0 +1,64 @@
+//! The sockets: clients, nodes and the control feed. What comes in goes to the routing task by its one queue, and
+//! what goes out waits in a queue for each connection. Nothing here decides.
+pub mod client;
+pub mod feed;
+pub mod node;
+
+use crate::protocol::client::ToClient;
+use crate::protocol::{Packet, fields::Hex, resp::LINE_END};
+use crate::routing::nodes::{Contact, NodeNo};
+use crate::routing::{ClientNo, Outward, PullNo};
+use async_executor::LocalExecutor;
+use async_io::Async;
+use futures_lite::AsyncWriteExt;
+use std::io::{self, IoSlice};
+use std::net::TcpStream;
+use std::rc::Rc;
+
+pub type Executor = Rc<LocalExecutor<'static>>;
+pub type Stream = Async<TcpStream>;
+
+/// Writes a packet whole; `progress` hears of each piece that the socket takes.
+async fn write_packet(mut to: &Stream, packet: &Packet, mut progress: impl FnMut(usize)) -> io::Result<()> {
+    let parts: [&[u8]; 3] = [&packet.head, &packet.body, LINE_END];
+    let mut done = 0;
+    while done < packet.len() {
+        let mut skip = done;
+        let rest = parts.map(|part| {
+            let from = skip.min(part.len());
+            skip -= from;
+            IoSlice::new(&part[from..])
+        });
+        let wrote = to.write_vectored(&rest).await?;
+        if wrote == 0 {
+            return Err(io::ErrorKind::WriteZero.into());
+        }
+        done += wrote;
+        progress(wrote);
+    }
+    Ok(())
+}
+
+/// Both sides of a router, as the routing task sees them.
+pub struct Outside {
+    pub clients: Rc<client::Clients>,
+    pub nodes: node::Links,
+}
+
+impl Outward for Outside {
+    fn answer(&mut self, client: ClientNo, tag: u64, answer: ToClient) {
+        self.clients.answer(client, tag, &answer);
+    }
+    fn pull(&mut self, node: NodeNo, contact: &Contact, pull: PullNo, id: Hex, packet: Packet) -> bool {
+        self.nodes.pull(node, contact, pull, id, packet)
+    }
+    fn cancel(&mut self, node: NodeNo, pull: PullNo) -> bool {
+        self.nodes.cancel(node, pull)
+    }
+    fn take_back(&mut self, node: NodeNo, pull: PullNo) -> bool {
+        self.nodes.take_back(node, pull)
+    }
+    fn renew(&mut self, node: NodeNo) {
+        self.nodes.renew(node);
+    }
+}
