--- a/crates/router/src/protocol/feed.rs
+++ b/crates/router/src/protocol/feed.rs
@@ -41,7 +41,9 @@
 
 pub fn read_line(line: &[u8]) -> Result<Line, String> {
     let json: Value = serde_json::from_slice(line).map_err(|e| format!("not JSON: {e}"))?;
-    match json.as_u64() {
+    // A beat comes as a bare number or as an event that says nothing but its number.
+    let alone = json.as_object().filter(|event| event.len() == 1).and_then(|event| event.get("n"));
+    match alone.unwrap_or(&json).as_u64() {
         Some(last) => Ok(Line::Beat(last)),
         None => read_event(&json).map(|(n, told)| Line::Event(n, told)),
     }
--- a/crates/router/src/transport/feed.rs
+++ b/crates/router/src/transport/feed.rs
@@ -86,7 +86,10 @@
                 Ok(Line::Event(n, _)) | Ok(Line::Beat(n)) => {
                     return format!("event {n} follows {}", feed.last);
                 }
-                Err(why) => return format!("unreadable line: {why}"),
+                Err(why) => {
+                    let start = String::from_utf8_lossy(&line[..line.len().min(80)]);
+                    return format!("unreadable line: {why}: {start}");
+                }
             }
         }
         text.drain(..done);
