--- /dev/null
+++ b/crates/router/tests/sockets.rs
@@ -0,0 +1,450 @@
+//! The program on loopback, between small stand-ins for clients, caches and the feed.
+use bytes::Bytes;
+use harestage_router::protocol::resp::{Bounds, Decoder, LINE_END, head};
+use serde_json::{Value, json};
+use std::io::{Read, Write};
+use std::net::{TcpListener, TcpStream};
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+const BOUNDS: Bounds = Bounds { items: 8, item_bytes: 240_000 };
+const LONG: Duration = Duration::from_secs(10);
+
+type Items = Vec<Bytes>;
+type Seen = Arc<Mutex<Vec<(usize, Items)>>>;
+
+/// What a stand-in does with a message.
+enum Reply {
+    Say(&'static str, &'static str, Vec<u8>),
+    Raw(&'static [u8]),
+    After(u64, &'static str),
+    Silence,
+    Close,
+}
+
+fn send(mut stream: &TcpStream, items: &[&[u8]]) {
+    let (last, first) = items.split_last().unwrap();
+    let _ = stream.write_all(&[&head(first, last.len()), *last, LINE_END].concat());
+}
+
+/// The next message, or None once the other side has closed.
+fn receive(mut stream: &TcpStream, decoder: &mut Decoder) -> Option<Items> {
+    loop {
+        if let Some(items) = decoder.take().unwrap() {
+            return Some(items);
+        }
+        let bytes = stream.read(decoder.room()).unwrap_or(0);
+        if bytes == 0 {
+            return None;
+        }
+        decoder.filled(bytes);
+    }
+}
+
+fn stand_in(
+    no: usize,
+    listener: TcpListener,
+    seen: Seen,
+    reply: impl Fn(usize, &str) -> Reply + Send + Sync + 'static,
+) {
+    let reply = Arc::new(reply);
+    std::thread::spawn(move || {
+        for stream in listener.incoming().map_while(Result::ok) {
+            let (seen, reply) = (seen.clone(), reply.clone());
+            std::thread::spawn(move || {
+                let mut decoder = Decoder::new(BOUNDS, 4_096);
+                while let Some(items) = receive(&stream, &mut decoder) {
+                    seen.lock().unwrap().push((no, items.clone()));
+                    if items[0] != "serve" {
+                        continue;
+                    }
+                    let id = items[1].clone();
+                    match reply(no, std::str::from_utf8(&items[2]).unwrap()) {
+                        Reply::Say(word, fields, body) => {
+                            send(&stream, &[&id, word.as_bytes(), fields.as_bytes(), &body])
+                        }
+                        Reply::Raw(bytes) => (&stream).write_all(bytes).unwrap(),
+                        Reply::After(ms, word) => {
+                            let stream = stream.try_clone().unwrap();
+                            std::thread::spawn(move || {
+                                std::thread::sleep(Duration::from_millis(ms));
+                                send(&stream, &[&id, word.as_bytes(), b"res=HIT,first=0", b"late"]);
+                            });
+                        }
+                        Reply::Silence => {}
+                        Reply::Close => break,
+                    }
+                }
+            });
+        }
+    });
+}
+
+fn settings() -> Value {
+    let class =
+        |name: &str, effect: &str| json!({"Name": name, "Aim": 400_000, "Idempotency": effect, "Worth": 1.0});
+    json!({
+        "Allowed": {"Cancel": true, "ConnectTimeout": 400_000, "IdleClose": 30_000_000, "MaxAttempts": 6,
+            "MaxRetryAfter": 500_000, "MostHeld": 20_000, "RetryAfter": true, "StreamsPerConn": 100},
+        "Balancers": 1,
+        "Classes": [class("clip", "repeatable"), class("filing", "once")],
+        "FamilyInfo": {"MidKind": 1, "StoreKind": 2, "CountByZone": [0, 1], "FlowKbPerS": 8_000.0,
+            "ZoneLinkKbPerS": [0.0, 80_000.0], "GoodFor": [20_000_000, 0], "GraceFor": [0, 0],
+            "ClassWrite": [false, true], "ClassParts": [false, false], "PurgeSettles": 6_000_000},
+        "Localities": ["hub", "here"], "Shapes": ["std", "parent", "origin"],
+        "Safety": {"Cold": 18_000_000, "ColdFrom": 0.2, "Fall": 2_000_000, "FallMultiple": 4.0},
+        "Zone": 1
+    })
+}
+
+/// A router among its stand-ins: caches 0.., then a parent and the origin, which are never asked here.
+struct Bed {
+    router: Child,
+    listen: String,
+    config: Value,
+    seen: Seen,
+    feed: TcpListener,
+}
+
+impl Bed {
+    /// `refusing`: this cache is listed where nobody listens.
+    fn open(
+        caches: usize,
+        refusing: Option<usize>,
+        reply: impl Fn(usize, &str) -> Reply + Send + Sync + 'static,
+    ) -> Bed {
+        let (seen, reply) = (Seen::default(), Arc::new(reply));
+        let mut endpoints = Vec::new();
+        for no in 0..caches + 2 {
+            let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+            let address = listener.local_addr().unwrap().to_string();
+            let (kind, zone) =
+                [("std", "here"), ("parent", "hub"), ("origin", "hub")][(no + 1).saturating_sub(caches)];
+            endpoints
+                .push(json!({"name": format!("s-{no:08x}"), "address": address, "zone": zone, "type": kind,
+                "group": no, "status": "Ready", "weight": 1, "since_ms": 0}));
+            if refusing != Some(no) {
+                let reply = reply.clone();
+                stand_in(no, listener, seen.clone(), move |no, fields| reply(no, fields));
+            }
+        }
+        let feed = TcpListener::bind("127.0.0.1:0").unwrap();
+        let listen = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap().to_string();
+        let members = json!({"n": 1, "members": {"index": 1, "snapshot": true, "endpoints": endpoints}});
+        let config = json!({
+            "name": "n0", "listen": listen, "seed": "8c1f30d27a5be964", "feed": feed.local_addr().unwrap().to_string(),
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1_024},
+            "known": {"n": 1, "events": [members]}, "settings": settings()
+        });
+        let router = start(&config);
+        let bed = Bed { router, listen, config, seen, feed };
+        let until = Instant::now() + LONG;
+        while TcpStream::connect(&bed.listen).is_err() {
+            assert!(Instant::now() < until, "the router never listened");
+            std::thread::sleep(Duration::from_millis(5));
+        }
+        let mut client = bed.client();
+        client.send(&[b"STATUS", b"1", b""]);
+        assert_eq!(client.next().unwrap()[1], "GREEN");
+        bed
+    }
+
+    fn client(&self) -> Client {
+        let stream = TcpStream::connect(&self.listen).unwrap();
+        stream.set_read_timeout(Some(LONG)).unwrap();
+        Client { stream, decoder: Decoder::new(BOUNDS, 4_096) }
+    }
+
+    /// Waits until a stand-in has seen as many messages of that word.
+    fn saw(&self, word: &str, times: usize) -> Vec<(usize, Items)> {
+        let until = Instant::now() + LONG;
+        loop {
+            let seen =
+                self.seen.lock().unwrap().iter().filter(|s| s.1[0] == word).cloned().collect::<Vec<_>>();
+            if seen.len() >= times || Instant::now() > until {
+                assert_eq!(seen.len(), times, "{word}");
+                return seen;
+            }
+            std::thread::sleep(Duration::from_millis(5));
+        }
+    }
+
+    fn terminate(&self) {
+        Command::new("kill").args(["-TERM", &self.router.id().to_string()]).status().unwrap();
+    }
+}
+
+impl Drop for Bed {
+    fn drop(&mut self) {
+        let _ = self.router.kill();
+        let _ = self.router.wait();
+    }
+}
+
+fn start(config: &Value) -> Child {
+    static STARTS: AtomicU32 = AtomicU32::new(0);
+    let name = format!("harestage-{}-{}.json", std::process::id(), STARTS.fetch_add(1, Ordering::Relaxed));
+    let path = std::env::temp_dir().join(name);
+    std::fs::write(&path, config.to_string()).unwrap();
+    let mut command = Command::new(env!("CARGO_BIN_EXE_harestage-router"));
+    command.env("BALANCER_CONFIG", &path).stderr(Stdio::piped()).spawn().unwrap()
+}
+
+struct Client {
+    stream: TcpStream,
+    decoder: Decoder,
+}
+
+impl Client {
+    fn send(&self, items: &[&[u8]]) {
+        send(&self.stream, items);
+    }
+    fn ask(&self, tag: u64, content: &str, object: u64, ms: u64, more: &str) {
+        let fields = format!("i={:016x},d={ms},o={object:016x},chunk=0,tag=5{more}", tag + object * 1_000);
+        self.send(&[
+            b"ASK",
+            tag.to_string().as_bytes(),
+            content.as_bytes(),
+            fields.as_bytes(),
+            b"\r\nbody\x00",
+        ]);
+    }
+    fn next(&mut self) -> Option<Items> {
+        receive(&self.stream, &mut self.decoder)
+    }
+    /// Asks and gives the word, the fields and the body of the answer.
+    fn fetch(&mut self, tag: u64, content: &str, object: u64, more: &str) -> (String, String, Bytes) {
+        self.ask(tag, content, object, 2_000, more);
+        let items = self.next().expect("an answer");
+        assert_eq!(items[0], tag.to_string());
+        let text = |n: usize| String::from_utf8(items[n].to_vec()).unwrap();
+        (text(1), text(2), items[3].clone())
+    }
+}
+
+#[test]
+fn downloads_are_fulfilled_throttled_and_abandoned() {
+    let large: Vec<u8> = (0..240_000u32).map(|n| (n * 7 + n / 251) as u8).collect();
+    let body = large.clone();
+    let bed = Bed::open(2, None, move |_, fields| match fields {
+        f if f.contains("kind=filing") => Reply::Say("EIO", "-", vec![]),
+        f if f.contains("obj=0000000000000001") => {
+            Reply::Say("ACK", "res=HIT,first=0,digest=aa", body.clone())
+        }
+        f if f.contains("obj=0000000000000002") => Reply::Say("ACK", "res=MISS,first=9.5", vec![]),
+        f if f.contains("got=4be0c1927d55a6f3") => Reply::Say("NOMOD", "res=HIT", vec![]),
+        _ => Reply::Say("EIO", "-", vec![]),
+    });
+    let mut client = bed.client();
+    let (word, _, bytes) = client.fetch(1, "clip", 1, "");
+    assert!(word == "ACK" && bytes == large, "whole and unchanged");
+    assert_eq!(client.fetch(2, "clip", 2, ""), ("ACK".into(), "".into(), Bytes::new()));
+    assert_eq!(client.fetch(3, "clip", 3, ",known=4be0c1927d55a6f3").1, "valid=1");
+    let (word, fields, _) = client.fetch(4, "clip", 4, "");
+    assert!(word == "NAK" && fields.starts_with("w="), "{word} {fields}");
+    assert_eq!(client.fetch(5, "filing", 5, "").0, "FAIL");
+    assert_eq!(client.fetch(6, "unknown", 6, "").0, "FAIL");
+    let seen = bed.seen.lock().unwrap();
+    let filing: Vec<_> = seen.iter().filter(|s| s.1[2].starts_with(b"kind=filing")).collect();
+    assert_eq!(filing.len(), 1, "what may have run is not sent again");
+    assert_eq!(filing[0].1[3], "\r\nbody\x00");
+}
+
+/// A reset after the write proves nothing; a refused connection proves that nothing ran.
+#[test]
+fn a_filing_goes_elsewhere_only_when_its_connection_was_refused() {
+    let bed = Bed::open(2, None, |_, _| Reply::Close);
+    assert_eq!(bed.client().fetch(1, "filing", 1, "").0, "FAIL");
+    bed.saw("serve", 1);
+    for refusing in 0..2 {
+        let bed = Bed::open(2, Some(refusing), |_, _| {
+            Reply::Say("ACK", "res=MISS_ORIGIN,first=3", b"done".to_vec())
+        });
+        let mut client = bed.client();
+        assert!((1..6).all(|tag| client.fetch(tag, "filing", tag, "").0 == "ACK"));
+        assert!(bed.saw("serve", 5).iter().all(|(no, _)| *no != refusing));
+    }
+}
+
+#[test]
+fn an_unreadable_answer_ends_its_connection_and_the_download_goes_on() {
+    let bed = Bed::open(2, None, |no, _| match no {
+        0 => Reply::Raw(b"*1\r\n$900000\r\n"),
+        _ => Reply::Say("ACK", "res=HIT", b"good".to_vec()),
+    });
+    let mut client = bed.client();
+    assert!((1..12).all(|tag| client.fetch(tag, "clip", tag, "").0 == "ACK"));
+    assert!(bed.seen.lock().unwrap().iter().any(|(no, _)| *no == 0), "the bad one was asked too");
+}
+
+/// A machine that says nothing costs its own pulls until their deadline, and nobody else's.
+#[test]
+fn silence_holds_up_nobody_else() {
+    let bed = Bed::open(1, None, |_, fields| match fields {
+        f if f.contains("obj=0000000000000001") => Reply::Silence,
+        _ => Reply::Say("ACK", "res=HIT", b"good".to_vec()),
+    });
+    let (mut slow, mut quick) = (bed.client(), bed.client());
+    let asked = Instant::now();
+    slow.ask(1, "clip", 1, 700, "");
+    assert!((2..20).all(|tag| quick.fetch(tag, "clip", tag, "").0 == "ACK"));
+    assert!(asked.elapsed() < Duration::from_millis(600));
+    let items = slow.next().expect("an answer");
+    assert!(items[1] != "ACK" && asked.elapsed() < Duration::from_millis(750), "{:?}", asked.elapsed());
+    bed.saw("cancel", 1);
+}
+
+#[test]
+fn a_client_that_leaves_has_its_pulls_cancelled() {
+    let bed = Bed::open(1, None, |_, _| Reply::Silence);
+    let mut client = bed.client();
+    client.ask(1, "clip", 1, 3_000, "");
+    bed.saw("serve", 1);
+    client.send(&[b"NEVERMIND", b"1"]);
+    bed.saw("cancel", 1);
+    client.ask(2, "clip", 2, 3_000, "");
+    bed.saw("serve", 2);
+    client.send(&[b"STATUS", b"3", b""]);
+    assert_eq!(client.next().unwrap()[0], "3", "nothing is said of what was given up");
+    drop(client);
+    bed.saw("cancel", 2);
+}
+
+#[test]
+fn bad_clients_end_alone() {
+    let bed = Bed::open(1, None, |_, fields| match fields {
+        f if f.contains("obj=0000000000000001") => Reply::Silence,
+        _ => Reply::Say("ACK", "res=HIT", b"good".to_vec()),
+    });
+    for noise in
+        [&b"*3\r\n$-1\r\n"[..], b"GET / HTTP/1.1\r\n\r\n", b"*2\r\n$3\r\nASK\r\n$1\r\nx\r\n", b"*999\r\n"]
+    {
+        let mut client = bed.client();
+        client.stream.write_all(noise).unwrap();
+        assert!(client.next().is_none(), "{}", String::from_utf8_lossy(noise));
+    }
+    let mut twice = bed.client();
+    twice.ask(1, "clip", 1, 3_000, "");
+    bed.saw("serve", 1);
+    twice.ask(1, "clip", 1, 3_000, "");
+    assert!(twice.next().is_none());
+    bed.saw("cancel", 1);
+    let mut odd = bed.client();
+    odd.send(&[b"WHAT", b"4"]);
+    odd.send(&[b"ASK", b"5", b"clip", b"i=3", b""]);
+    assert_eq!(
+        (odd.next().unwrap()[1].clone(), odd.next().unwrap()[1].clone()),
+        ("FAIL".into(), "FAIL".into())
+    );
+    let half = bed.client();
+    (&half.stream).write_all(b"*5\r\n$3\r\nAS").unwrap();
+    assert_eq!(odd.fetch(6, "clip", 6, "").0, "ACK");
+    let mut many = bed.client();
+    (1..=33).for_each(|tag| many.ask(tag, "clip", 1, 3_000, ""));
+    assert_eq!(many.next().unwrap()[..2], ["33", "FAIL"]);
+}
+
+/// Answers wait for a client that does not read them, within bounds, while others are served.
+#[test]
+fn a_client_that_does_not_read_holds_up_nobody_else() {
+    let bed = Bed::open(1, None, |_, _| Reply::Say("ACK", "res=HIT", vec![7; 240_000]));
+    let deaf = bed.client();
+    for tag in 1..=300 {
+        deaf.ask(tag, "clip", tag, 3_000, "");
+    }
+    // The core throttles while so much comes at once; what is asked here is what holds afterwards.
+    std::thread::sleep(Duration::from_millis(700));
+    let mut client = bed.client();
+    assert!((1..20).all(|tag| client.fetch(tag, "clip", tag, "").0 == "ACK"));
+    let status = std::fs::read_to_string(format!("/proc/{}/status", bed.router.id())).unwrap();
+    let peak = status.lines().find_map(|l| l.strip_prefix("VmHWM:")).unwrap();
+    let kb: u64 = peak.trim().trim_end_matches(" kB").parse().unwrap();
+    assert!(kb < 40_000, "{kb} kB for one deaf client");
+}
+
+#[test]
+fn the_feed_is_taken_up_again_after_the_last_event_applied() {
+    let bed = Bed::open(2, None, |no, _| {
+        Reply::Say("ACK", if no == 0 { "res=HIT" } else { "res=MISS" }, b"x".to_vec())
+    });
+    let subscribed = || {
+        let (mut stream, _) = bed.feed.accept().unwrap();
+        let mut line = [0; 6];
+        stream.read_exact(&mut line).unwrap();
+        (stream, String::from_utf8(line.to_vec()).unwrap())
+    };
+    let (mut stream, line) = subscribed();
+    assert_eq!(line, "SUB 1\n");
+    let gone = json!({"n": 2, "members": {"index": 2, "snapshot": false, "endpoints": [
+        {"name": "s-00000000", "address": "", "zone": "here", "type": "std", "group": 0, "status": "Gone",
+         "weight": 1, "since_ms": 0}]}});
+    let text = format!("1\n{{\"n\":1}}\n{gone}\n");
+    let (first, rest) = text.split_at(text.len() / 2);
+    stream.write_all(first.as_bytes()).unwrap();
+    std::thread::sleep(Duration::from_millis(30));
+    stream.write_all(rest.as_bytes()).unwrap();
+    stream.write_all(b"what is this\n").unwrap();
+    let (mut stream, line) = subscribed();
+    assert_eq!(line, "SUB 2\n", "after a line that can't be read");
+    let purge = json!({"n": 3, "purge": {"group": 5, "at": 1}});
+    stream.write_all(format!("{gone}\n{purge}\n").as_bytes()).unwrap();
+    drop(stream);
+    let (_silent, line) = subscribed();
+    assert_eq!(line, "SUB 3\n", "after a break; what was seen is passed over");
+    let (_stream, line) = subscribed();
+    assert_eq!(line, "SUB 3\n", "after a silence");
+    let mut client = bed.client();
+    assert!((1..12).all(|tag| client.fetch(tag, "clip", tag, "").0 == "ACK"));
+    assert!(bed.saw("serve", 11).iter().all(|(no, _)| *no == 1), "the one that is gone gets nothing");
+}
+
+#[test]
+fn a_term_signal_leaves_nothing_unanswered() {
+    let mut bed = Bed::open(1, None, |_, _| Reply::After(1_200, "ACK"));
+    let mut before = bed.client();
+    before.ask(1, "clip", 1, 3_000, "");
+    bed.saw("serve", 1);
+    bed.terminate();
+    std::thread::sleep(Duration::from_millis(300));
+    let mut after = bed.client();
+    after.ask(1, "clip", 2, 3_000, "");
+    assert_eq!(before.next().unwrap()[1], "ACK");
+    assert_eq!(after.next().unwrap()[1], "ACK");
+    let ended = bed.router.wait().unwrap();
+    assert_eq!(ended.code(), Some(0));
+    assert!(before.next().is_none());
+}
+
+#[test]
+fn a_configuration_that_cannot_be_is_one_line_that_names_the_key() {
+    let bed = Bed::open(1, None, |_, _| Reply::Silence);
+    let cases = [
+        ("/listen", json!("nowhere"), "listen"),
+        ("/listen", json!(bed.listen), "listen"),
+        ("/feed", json!(7), "feed"),
+        ("/seed", json!("xyz"), "seed"),
+        ("/name", Value::Null, "name"),
+        ("/limits/sockets", json!(0), "limits.sockets"),
+        ("/limits/memory_mb", json!("much"), "limits.memory_mb"),
+        ("/known/n", Value::Null, "known.n"),
+        ("/settings/Zone", Value::Null, "Zone"),
+        ("/settings/Allowed/StreamsPerConn", json!(0), "Allowed.StreamsPerConn"),
+        ("/settings/Shapes", json!(3), "Shapes"),
+    ];
+    for (path, value, key) in cases {
+        let mut config = bed.config.clone();
+        *config.pointer_mut(path).unwrap() = value;
+        let ended = start(&config).wait_with_output().unwrap();
+        let said = String::from_utf8(ended.stderr).unwrap();
+        let complaint: Vec<&str> = said.lines().filter(|l| l.starts_with("harestage-router:")).collect();
+        assert!(
+            !ended.status.success() && complaint.len() == 1 && complaint[0].contains(key),
+            "{path}: {said}"
+        );
+    }
+    let ended =
+        Command::new(env!("CARGO_BIN_EXE_harestage-router")).env_remove("BALANCER_CONFIG").output().unwrap();
+    assert!(!ended.status.success() && String::from_utf8(ended.stderr).unwrap().contains("BALANCER_CONFIG"));
+}
