--- a/crates/router/src/program/limits.rs
+++ b/crates/router/src/program/limits.rs
@@ -1,5 +1,6 @@
 //! All sizes, counts and times that bound the router, in one type: filled at start from the configuration and
 //! handed down.
+use harestage::time::Span;
 use harestage_profile::Outside;
 use std::time::Duration;
 
@@ -22,6 +23,8 @@
     pub client_item_bytes: usize,
     /// Answers waiting on one connection; past it that client is not read.
     pub client_unsent_bytes: usize,
+    /// Answers that are written with one call to the system.
+    pub packets_at_once: usize,
     /// Answers waiting on all connections; past it the client with the most is ended.
     pub unsent_bytes: usize,
     /// A client that takes nothing for as long is ended.
@@ -34,8 +37,12 @@
     pub connect_within: Duration,
     /// A connection on which a pull got nothing for as long before it was given up is not used again.
     pub node_silence: Duration,
+    /// Ids given up on a connection that are still told from new ones.
+    pub node_spent_ids: usize,
     /// An idle connection is closed after it, before the node does so.
     pub node_idle: Duration,
+    /// How long after its deadline a download waits for the core's answer before it is abandoned all the same.
+    pub answer_grace: Span,
     pub feed_silence: Duration,
     pub feed_pause: Duration,
     pub feed_line_bytes: usize,
@@ -63,6 +70,7 @@
             client_items: 8,
             client_item_bytes: WRITE_BODY,
             client_unsent_bytes: 4 * BODY,
+            packets_at_once: 32,
             unsent_bytes: (memory / 4).max(2 * BODY),
             client_stall: Duration::from_secs(6),
             client_idle: Duration::from_secs(60),
@@ -71,7 +79,9 @@
             node_pulls: outside.pulls_per_connection,
             connect_within: Duration::from_micros(outside.connect_within.as_micros()),
             node_silence: Duration::from_millis(250),
+            node_spent_ids: 256,
             node_idle: Duration::from_micros(outside.idle_closes_after.as_micros()).mul_f64(0.8),
+            answer_grace: Span::millis(20),
             feed_silence: Duration::from_millis(2_500),
             feed_pause: Duration::from_millis(200),
             feed_line_bytes: 1 << 20,
--- a/crates/router/src/program/mod.rs
+++ b/crates/router/src/program/mod.rs
@@ -4,7 +4,7 @@
 pub mod log;
 
 use crate::routing::clock::Clock;
-use crate::routing::{News, Routing, task};
+use crate::routing::{News, Routing, Terms, task};
 use crate::transport::{Outside, client, feed, node};
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
@@ -34,7 +34,8 @@
     let clients = client::Clients::new(limits.clone(), clock, inbox.clone(), log.clone());
     let nodes = node::Links::new(limits.clone(), inbox.clone(), log.clone(), executor.clone());
     let mut outward = Outside { clients: clients.clone(), nodes };
-    let mut routing = Routing::open(profile, kinds, outside, seed, clock.now());
+    let terms = Terms { profile, kinds, outside, answer_grace: limits.answer_grace };
+    let mut routing = Routing::open(terms, seed, clock.now());
     routing.step(clock.now(), known.into_iter().map(News::Told), &mut outward);
     let listener = Async::<TcpListener>::bind(listen)
         .map_err(|why| format!("key listen: {listen} can't be listened on: {why}"))?;
--- a/crates/router/src/routing/mod.rs
+++ b/crates/router/src/routing/mod.rs
@@ -21,9 +21,6 @@
 pub type PullNo = u64;
 type DlNo = u64;
 
-/// How long after its deadline a download waits for the core's answer before it is abandoned here.
-const ANSWER_GRACE: Span = Span::millis(20);
-
 /// A pull that will bring no answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Loss {
@@ -83,11 +80,21 @@
     pulls: Vec<PullNo>,
 }
 
+/// What a routing task is told at its start.
+pub struct Terms {
+    pub profile: ServiceProfile,
+    pub kinds: Kinds,
+    pub outside: Outside,
+    /// How long after its deadline a download waits for the core's answer before it is abandoned here.
+    pub answer_grace: Span,
+}
+
 pub struct Routing {
     brain: Brain,
     register: Register,
     kinds: Kinds,
     outside: Outside,
+    answer_grace: Span,
     contents: HashMap<Vec<u8>, ContentIx>,
     contacts: Contacts,
     held: HashMap<DlNo, Held>,
@@ -101,12 +108,14 @@
 }
 
 impl Routing {
-    pub fn open(profile: ServiceProfile, kinds: Kinds, outside: Outside, seed: u64, now: Moment) -> Routing {
+    pub fn open(terms: Terms, seed: u64, now: Moment) -> Routing {
+        let Terms { profile, kinds, outside, answer_grace } = terms;
         let names = outside.contents.iter().enumerate();
         Routing {
             brain: Brain::open(profile, seed, now),
             register: Register::default(),
             kinds,
+            answer_grace,
             contents: names.map(|(at, n)| (n.clone().into_bytes(), ContentIx(at as u16))).collect(),
             outside,
             contacts: Contacts::default(),
@@ -317,7 +326,7 @@
             Bell::Deadline(dl) => {
                 if let Some(held) = self.held.get(&dl).filter(|h| !h.answered) {
                     held.pulls.clone().into_iter().for_each(|pull| self.time_out(pull, now, outward));
-                    self.set(now + ANSWER_GRACE, Bell::Overdue(dl));
+                    self.set(now + self.answer_grace, Bell::Overdue(dl));
                 }
             }
             // Guards the rule that all are answered against a core that holds one without a pull.
--- a/crates/router/src/transport/client.rs
+++ b/crates/router/src/transport/client.rs
@@ -1,6 +1,6 @@
 //! Connections from clients. Each has a reader, which stops while too much is open or unsent, a writer with its
 //! own queue, and a watch that ends connections on which a peer has stalled.
-use super::{Stream, write_packet};
+use super::{Stream, write_packets};
 use crate::program::limits::Limits;
 use crate::protocol::Packet;
 use crate::protocol::client::{self, FromClient, ToClient};
@@ -254,22 +254,27 @@
 /// Backpressure: past a bound nothing more is read from this client.
 async fn wait_for_room(clients: &Clients, line: &Line) {
     let limits = &clients.limits;
-    loop {
+    let full = || clients.open.get() >= limits.downloads;
+    let behind = || line.unsent.get() >= limits.client_unsent_bytes;
+    while full() || behind() {
         let (all, own) = (clients.room.listen(), line.room.listen());
-        if clients.open.get() >= limits.downloads {
+        if full() {
             all.await;
-        } else if line.unsent.get() >= limits.client_unsent_bytes {
+        } else if behind() {
             own.await;
-        } else {
-            return;
         }
     }
 }
 
+fn take_packets(queue: &mut VecDeque<Packet>, most: usize) -> Vec<Packet> {
+    let packets = most.min(queue.len());
+    queue.drain(..packets).collect()
+}
+
 async fn write(clients: &Clients, line: &Line, stream: &Stream) -> String {
     loop {
-        let packet = line.queue.borrow_mut().pop_front();
-        let Some(packet) = packet else {
+        let packets = take_packets(&mut line.queue.borrow_mut(), clients.limits.packets_at_once);
+        if packets.is_empty() {
             let wake = line.wake.listen();
             if line.queue.borrow().is_empty() && !line.ending.get() {
                 wake.await;
@@ -278,14 +283,14 @@
                 return "ended here".into();
             }
             continue;
-        };
+        }
         let progress = |bytes| {
             line.wrote.set(Instant::now());
             line.unsent.set(line.unsent.get() - bytes);
             clients.unsent.set(clients.unsent.get() - bytes);
             line.room.notify(usize::MAX);
         };
-        if let Err(why) = write_packet(stream, &packet, progress).await {
+        if let Err(why) = write_packets(stream, &packets, progress).await {
             return why.to_string();
         }
     }
--- a/crates/router/src/transport/mod.rs
+++ b/crates/router/src/transport/mod.rs
@@ -18,22 +18,22 @@
 pub type Executor = Rc<LocalExecutor<'static>>;
 pub type Stream = Async<TcpStream>;
 
-/// Writes a packet whole; `progress` hears of each piece that the socket takes.
-async fn write_packet(mut to: &Stream, packet: &Packet, mut progress: impl FnMut(usize)) -> io::Result<()> {
-    let parts: [&[u8]; 3] = [&packet.head, &packet.body, LINE_END];
-    let mut done = 0;
-    while done < packet.len() {
-        let mut skip = done;
-        let rest = parts.map(|part| {
-            let from = skip.min(part.len());
-            skip -= from;
-            IoSlice::new(&part[from..])
-        });
-        let wrote = to.write_vectored(&rest).await?;
+/// Writes packets whole, as many as it can with one call to the system; `progress` hears of each piece that the
+/// socket takes.
+async fn write_packets(
+    mut to: &Stream,
+    packets: &[Packet],
+    mut progress: impl FnMut(usize),
+) -> io::Result<()> {
+    let parts = packets.iter().flat_map(|p| [&p.head[..], &p.body[..], LINE_END]);
+    let mut parts: Vec<IoSlice> = parts.map(IoSlice::new).collect();
+    let mut rest = &mut parts[..];
+    while !rest.is_empty() {
+        let wrote = to.write_vectored(rest).await?;
         if wrote == 0 {
             return Err(io::ErrorKind::WriteZero.into());
         }
-        done += wrote;
+        IoSlice::advance_slices(&mut rest, wrote);
         progress(wrote);
     }
     Ok(())
--- a/crates/router/src/transport/node.rs
+++ b/crates/router/src/transport/node.rs
@@ -1,6 +1,6 @@
 //! Connections to caches, parents and the origin: one for each node that carries many pulls, a further one where
 //! that is full, was replaced, or has fallen silent.
-use super::{Executor, Stream, write_packet};
+use super::{Executor, Stream, write_packets};
 use crate::program::limits::Limits;
 use crate::protocol::resp::{Bounds, Decoder};
 use crate::protocol::{Packet, fields::Hex, node};
@@ -18,9 +18,6 @@
 use std::rc::Rc;
 use std::time::Instant;
 
-/// Ids given up on a connection that it still tells from new ones.
-const SPENT_IDS: usize = 256;
-
 struct Queued {
     /// None: this is a cancel.
     pull: Option<(PullNo, Hex)>,
@@ -61,9 +58,9 @@
         at.and_then(|at| queue.remove(at)).is_some()
     }
 
-    fn spend(&self, id: Hex) {
+    fn spend(&self, id: Hex, most: usize) {
         let mut spent = self.spent.borrow_mut();
-        if spent.len() >= SPENT_IDS {
+        if spent.len() >= most {
             spent.pop_front();
         }
         spent.push_back(id);
@@ -137,7 +134,7 @@
                 wire.written.borrow().iter().find(|(_, (no, _))| *no == pull).map(|(id, (_, at))| (*id, *at));
             if let Some((id, at)) = id {
                 wire.written.borrow_mut().remove(&id);
-                wire.spend(id);
+                wire.spend(id, self.common.limits.node_spent_ids);
                 // Nothing came in since this was written: the machine may have vanished. What comes next goes
                 // over a fresh connection, which then comes up or proves that nothing ran.
                 if wire.heard.get() < at && at.elapsed() > self.common.limits.node_silence {
@@ -180,7 +177,9 @@
             wire.up.set(true);
             wire.heard.set(Instant::now());
             let read = read(&common, &wire, &stream, &name);
-            let why = or(or(read, write(&wire, &stream)), watch(&common, &wire)).await;
+            let why =
+                or(or(read, write(&wire, &stream, common.limits.node_spent_ids)), watch(&common, &wire))
+                    .await;
             debug!(common.log, "node connection ended"; "node" => &name, "why" => &why);
         }
         Err(why) => info!(common.log, "node not reached"; "node" => &name, "why" => &why),
@@ -235,7 +234,7 @@
     }
 }
 
-async fn write(wire: &Wire, stream: &Stream) -> String {
+async fn write(wire: &Wire, stream: &Stream, spent_ids: usize) -> String {
     loop {
         let next = wire.queue.borrow_mut().pop_front();
         let Some(Queued { pull, packet }) = next else {
@@ -246,7 +245,7 @@
             continue;
         };
         wire.writing.set(pull.map(|(no, _)| no));
-        let wrote = write_packet(stream, &packet, |_| {}).await;
+        let wrote = write_packets(stream, &[packet], |_| {}).await;
         wire.busy.set(Instant::now());
         if let Err(why) = wrote {
             return why.to_string();
@@ -256,7 +255,7 @@
                 wire.written.borrow_mut().insert(id, (no, Instant::now()));
             } else {
                 // Given up while it was being written: it is whole now, so it has to be called back.
-                wire.spend(id);
+                wire.spend(id, spent_ids);
                 wire.queue.borrow_mut().push_front(Queued { pull: None, packet: node::write_cancel(id) });
             }
         }
--- a/crates/router/tests/routing.rs
+++ b/crates/router/tests/routing.rs
@@ -15,7 +15,7 @@
 use harestage_router::protocol::node::{Answer, Word};
 use harestage_router::protocol::{Packet, fields::Hex};
 use harestage_router::routing::nodes::{Contact, Contacts, NodeNo};
-use harestage_router::routing::{ClientNo, Loss, News, Outward, PullNo, Routing};
+use harestage_router::routing::{ClientNo, Loss, News, Outward, PullNo, Routing, Terms};
 
 const START: Moment = Moment::at_micros(1_764_576_000_000_000);
 const KINDS: Kinds = Kinds { parent: Some(1), origin: Some(2) };
@@ -103,7 +103,9 @@
 
 impl Bed {
     fn open() -> Bed {
-        let routing = Routing::open(profile(), KINDS, outside(), 11, START);
+        let (outside, answer_grace) = (outside(), Span::millis(20));
+        let terms = Terms { profile: profile(), kinds: KINDS, outside, answer_grace };
+        let routing = Routing::open(terms, 11, START);
         let mut bed = Bed { routing, paper: Paper::default(), now: START };
         bed.hear(vec![News::Told(all_ready())]);
         bed
