Reader and writer as tasks of their own, one lasting timer, deadlines taken back with their downloads

Timers of downloads long answered lay in the heap until due. Lines at fault: transport/client.rs serve, transport/node.rs run, routing/task.rs run, routing/mod.rs bells.

--- a/crates/router/src/routing/mod.rs
+++ b/crates/router/src/routing/mod.rs
@@ -14,12 +14,13 @@
 use harestage::time::{Moment, Span};
 use harestage_profile::{Kinds, Outside};
 use nodes::{Contact, Contacts, NodeNo};
-use std::cmp::Reverse;
-use std::collections::{BinaryHeap, HashMap};
+use std::collections::{BTreeMap, HashMap};
 
 pub type ClientNo = u64;
 pub type PullNo = u64;
 type DlNo = u64;
+/// When it rings, and a number that tells it from others of that moment.
+type BellNo = (Moment, u64);
 
 /// A pull that will bring no answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -53,7 +54,7 @@
     fn renew(&mut self, node: NodeNo);
 }
 
-#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy)]
 enum Bell {
     Core(u32),
     PullTimesOut(PullNo),
@@ -75,6 +76,7 @@
     wish: Wish,
     content: ContentIx,
     leaves_at: Moment,
+    deadline: BellNo,
     answered: bool,
     /// All its pulls, by the numbers that the core gives them.
     pulls: Vec<PullNo>,
@@ -100,7 +102,7 @@
     held: HashMap<DlNo, Held>,
     open: HashMap<(ClientNo, u64), DlNo>,
     out: HashMap<PullNo, Out>,
-    bells: BinaryHeap<Reverse<(Moment, u64, Bell)>>,
+    bells: BTreeMap<BellNo, Bell>,
     events: Vec<Event>,
     rung: u64,
     last_dl: DlNo,
@@ -122,7 +124,7 @@
             held: HashMap::new(),
             open: HashMap::new(),
             out: HashMap::new(),
-            bells: BinaryHeap::new(),
+            bells: BTreeMap::new(),
             events: Vec::new(),
             rung: 0,
             last_dl: 0,
@@ -137,7 +139,7 @@
 
     /// When `step` has to be called at the latest, news or none.
     pub fn next_bell(&self) -> Option<Moment> {
-        self.bells.peek().map(|Reverse((at, _, _))| *at)
+        self.bells.first_key_value().map(|((at, _), _)| *at)
     }
 
     /// Takes in what has come up to `now` and carries out what the core orders on it. News go before bells, so
@@ -146,11 +148,8 @@
         for news in news {
             self.take_in(news, now, outward);
         }
-        while let Some(Reverse((at, _, bell))) = self.bells.peek().copied() {
-            if at > now {
-                break;
-            }
-            self.bells.pop();
+        while let Some(first) = self.bells.first_entry().filter(|first| first.key().0 <= now) {
+            let bell = first.remove();
             self.ring(bell, now, outward);
         }
         let mut orders = Vec::new();
@@ -201,26 +200,33 @@
             leaves_at,
             repeat: wish.repeat,
         };
-        self.held
-            .insert(dl, Held { client, tag, wish, content, leaves_at, answered: false, pulls: Vec::new() });
+        let deadline = self.set(leaves_at, Bell::Deadline(dl));
+        let (answered, pulls) = (false, Vec::new());
+        self.held.insert(dl, Held { client, tag, wish, content, leaves_at, deadline, answered, pulls });
         self.open.insert((client, tag), dl);
-        self.set(leaves_at, Bell::Deadline(dl));
         self.events.push(Event::Arrived { dl: self.register.enter_dl(dl), download });
     }
 
-    /// The client waits no longer: nothing is owed any more.
-    fn left(&mut self, dl: DlNo) {
-        let Some(held) = self.held.get_mut(&dl).filter(|h| !h.answered) else { return };
+    /// Nothing is owed any more: whose answer it was, unless that had been said before.
+    fn close(&mut self, dl: DlNo) -> Option<(ClientNo, u64)> {
+        let held = self.held.get_mut(&dl).filter(|h| !h.answered)?;
         held.answered = true;
+        self.bells.remove(&held.deadline);
         self.open.remove(&(held.client, held.tag));
+        Some((held.client, held.tag))
+    }
+
+    fn left(&mut self, dl: DlNo) {
+        if self.close(dl).is_none() {
+            return;
+        }
         self.events.extend(self.register.dl(dl).map(|dl| Event::Left { dl }));
     }
 
     fn reply(&mut self, dl: DlNo, answer: ToClient, outward: &mut dyn Outward) {
-        let Some(held) = self.held.get_mut(&dl).filter(|h| !h.answered) else { return };
-        held.answered = true;
-        self.open.remove(&(held.client, held.tag));
-        outward.answer(held.client, held.tag, answer);
+        if let Some((client, tag)) = self.close(dl) {
+            outward.answer(client, tag, answer);
+        }
     }
 
     fn pull_answered(&mut self, pull: PullNo, answer: Answer, now: Moment, outward: &mut dyn Outward) {
@@ -314,9 +320,10 @@
         }
     }
 
-    fn set(&mut self, at: Moment, bell: Bell) {
+    fn set(&mut self, at: Moment, bell: Bell) -> BellNo {
         self.rung += 1;
-        self.bells.push(Reverse((at, self.rung, bell)));
+        self.bells.insert((at, self.rung), bell);
+        (at, self.rung)
     }
 
     fn ring(&mut self, bell: Bell, now: Moment, outward: &mut dyn Outward) {
@@ -363,7 +370,9 @@
                 self.reply(self.register.dl_id(dl), ToClient::Throttled { retry_after_ms }, outward);
             }
             Order::Abandon { dl } => self.reply(self.register.dl_id(dl), ToClient::Abandoned, outward),
-            Order::Ring { after, bell } => self.set(now + after, Bell::Core(bell)),
+            Order::Ring { after, bell } => {
+                self.set(now + after, Bell::Core(bell));
+            }
             // The feed runs from the start, asked for or not.
             Order::WatchRoster => {}
             Order::Forget { dl } => {
--- a/crates/router/src/routing/task.rs
+++ b/crates/router/src/routing/task.rs
@@ -3,7 +3,8 @@
 use super::{News, Outward, Routing};
 use async_channel::Receiver;
 use async_io::Timer;
-use futures_lite::future::{or, pending};
+use futures_lite::future::or;
+use harestage::time::Moment;
 
 pub async fn run(
     mut routing: Routing,
@@ -13,17 +14,24 @@
     most_in_a_turn: usize,
 ) {
     let mut news = Vec::with_capacity(most_in_a_turn);
+    let mut timer = Timer::never();
+    // Setting a timer costs calls to the system, so one that rings too early is left as it is.
+    let mut set_for: Option<Moment> = None;
     loop {
-        let bell = routing.next_bell();
+        if let Some(bell) = routing.next_bell().filter(|bell| set_for.is_none_or(|at| *bell < at)) {
+            timer.set_at(clock.instant(bell));
+            set_for = Some(bell);
+        }
         let first = async { inbox.recv().await.ok() };
         let rung = async {
-            match bell {
-                Some(at) => Timer::at(clock.instant(at)).await,
-                None => pending().await,
-            };
+            (&mut timer).await;
             None
         };
-        news.extend(or(first, rung).await);
+        let woken = or(first, rung).await;
+        if woken.is_none() {
+            set_for = None;
+        }
+        news.extend(woken);
         while news.len() < most_in_a_turn
             && let Ok(more) = inbox.try_recv()
         {
--- a/crates/router/src/transport/client.rs
+++ b/crates/router/src/transport/client.rs
@@ -1,6 +1,6 @@
 //! Connections from clients. Each has a reader, which stops while too much is open or unsent, a writer with its
 //! own queue, and a watch that ends connections on which a peer has stalled.
-use super::{Stream, write_packets};
+use super::{Source, Stream, write_packets};
 use crate::program::limits::Limits;
 use crate::protocol::Packet;
 use crate::protocol::client::{self, FromClient, ToClient};
@@ -10,7 +10,6 @@
 use async_channel::Sender;
 use async_io::{Async, Timer};
 use event_listener::Event;
-use futures_lite::AsyncReadExt;
 use futures_lite::future::or;
 use slog::{Logger, debug, info, warn};
 use std::cell::{Cell, RefCell};
@@ -163,7 +162,7 @@
         match listener.accept().await {
             Ok((stream, _)) => {
                 refused = false;
-                executor.spawn(serve(clients.clone(), stream)).detach();
+                executor.spawn(serve(clients.clone(), Rc::new(stream), executor.clone())).detach();
             }
             Err(why) => {
                 if !refused {
@@ -176,27 +175,28 @@
     }
 }
 
-async fn serve(clients: Rc<Clients>, stream: Stream) {
+/// The writer is a task of its own: what wakes one side must not make the other try its socket for nothing.
+async fn serve(clients: Rc<Clients>, stream: Rc<Stream>, executor: super::Executor) {
     let _ = stream.get_ref().set_nodelay(true);
     let (no, line) = clients.enter();
-    let why =
-        or(or(read(&clients, no, &line, &stream), write(&clients, &line, &stream)), watch(&clients, &line))
-            .await;
+    let writer = executor.spawn(write(clients.clone(), line.clone(), stream.clone()));
+    let why = or(or(read(&clients, no, &line, &stream), writer), watch(&clients, &line)).await;
     debug!(clients.log, "client gone"; "client" => no, "why" => &why);
     clients.leave(no).await;
 }
 
-async fn read(clients: &Clients, no: ClientNo, line: &Line, mut stream: &Stream) -> String {
+async fn read(clients: &Clients, no: ClientNo, line: &Line, stream: &Stream) -> String {
     let limits = &clients.limits;
     let bounds = Bounds { items: limits.client_items, item_bytes: limits.client_item_bytes };
     let mut decoder = Decoder::new(bounds, limits.read_buffer);
+    let mut source = Source::new(stream);
     loop {
         let items = match decoder.take() {
             Ok(Some(items)) => items,
             Ok(None) => {
-                match stream.read(decoder.room()).await {
+                match source.read_into(&mut decoder).await {
                     Ok(0) => return "closed by the client".into(),
-                    Ok(bytes) => decoder.filled(bytes),
+                    Ok(_) => {}
                     Err(why) => return why.to_string(),
                 }
                 line.read.set(Instant::now());
@@ -271,7 +271,7 @@
     queue.drain(..packets).collect()
 }
 
-async fn write(clients: &Clients, line: &Line, stream: &Stream) -> String {
+async fn write(clients: Rc<Clients>, line: Rc<Line>, stream: Rc<Stream>) -> String {
     loop {
         let packets = take_packets(&mut line.queue.borrow_mut(), clients.limits.packets_at_once);
         if packets.is_empty() {
@@ -290,7 +290,7 @@
             clients.unsent.set(clients.unsent.get() - bytes);
             line.room.notify(usize::MAX);
         };
-        if let Err(why) = write_packets(stream, &packets, progress).await {
+        if let Err(why) = write_packets(&stream, &packets, progress).await {
             return why.to_string();
         }
     }
--- a/crates/router/src/transport/mod.rs
+++ b/crates/router/src/transport/mod.rs
@@ -5,12 +5,13 @@
 pub mod node;
 
 use crate::protocol::client::ToClient;
-use crate::protocol::{Packet, fields::Hex, resp::LINE_END};
+use crate::protocol::resp::{Decoder, LINE_END};
+use crate::protocol::{Packet, fields::Hex};
 use crate::routing::nodes::{Contact, NodeNo};
 use crate::routing::{ClientNo, Outward, PullNo};
 use async_executor::LocalExecutor;
 use async_io::Async;
-use futures_lite::AsyncWriteExt;
+use futures_lite::{AsyncReadExt, AsyncWriteExt};
 use std::io::{self, IoSlice};
 use std::net::TcpStream;
 use std::rc::Rc;
@@ -18,6 +19,31 @@
 pub type Executor = Rc<LocalExecutor<'static>>;
 pub type Stream = Async<TcpStream>;
 
+/// The reading side of a connection.
+struct Source<'a> {
+    stream: &'a Stream,
+    /// The last read filled its room, so that there may be more.
+    more: bool,
+}
+
+impl Source<'_> {
+    fn new(stream: &Stream) -> Source<'_> {
+        Source { stream, more: true }
+    }
+
+    /// Waits first where nothing is to be expected: a try that finds nothing costs as much as one that reads.
+    async fn read_into(&mut self, decoder: &mut Decoder) -> io::Result<usize> {
+        if !self.more {
+            self.stream.readable().await?;
+        }
+        let room = decoder.room();
+        let (bytes, most) = (self.stream.read(room).await?, room.len());
+        self.more = bytes == most;
+        decoder.filled(bytes);
+        Ok(bytes)
+    }
+}
+
 /// Writes packets whole, as many as it can with one call to the system; `progress` hears of each piece that the
 /// socket takes.
 async fn write_packets(
--- a/crates/router/src/transport/node.rs
+++ b/crates/router/src/transport/node.rs
@@ -1,6 +1,6 @@
 //! Connections to caches, parents and the origin: one for each node that carries many pulls, a further one where
 //! that is full, was replaced, or has fallen silent.
-use super::{Executor, Stream, write_packets};
+use super::{Executor, Source, Stream, write_packets};
 use crate::program::limits::Limits;
 use crate::protocol::resp::{Bounds, Decoder};
 use crate::protocol::{Packet, fields::Hex, node};
@@ -9,7 +9,6 @@
 use async_channel::Sender;
 use async_io::{Async, Timer};
 use event_listener::Event;
-use futures_lite::AsyncReadExt;
 use futures_lite::future::or;
 use slog::{Logger, debug, info, warn};
 use std::cell::{Cell, RefCell};
@@ -114,7 +113,13 @@
                     wake: Event::new(),
                 });
                 wires.push(wire.clone());
-                let run = run(self.common.clone(), wire.clone(), address, contact.name.clone());
+                let run = run(
+                    self.common.clone(),
+                    self.executor.clone(),
+                    wire.clone(),
+                    address,
+                    contact.name.clone(),
+                );
                 self.common.wires.set(self.common.wires.get() + 1);
                 self.executor.spawn(run).detach();
                 wire
@@ -165,7 +170,7 @@
 }
 
 /// One connection from its first byte to its last; every pull on it ends in an answer, a loss or a cancel.
-async fn run(common: Rc<Common>, wire: Rc<Wire>, address: SocketAddr, name: String) {
+async fn run(common: Rc<Common>, executor: Executor, wire: Rc<Wire>, address: SocketAddr, name: String) {
     let connect = async { Async::<TcpStream>::connect(address).await.map_err(|why| why.to_string()) };
     let late = async {
         Timer::after(common.limits.connect_within).await;
@@ -176,10 +181,10 @@
             let _ = stream.get_ref().set_nodelay(true);
             wire.up.set(true);
             wire.heard.set(Instant::now());
-            let read = read(&common, &wire, &stream, &name);
-            let why =
-                or(or(read, write(&wire, &stream, common.limits.node_spent_ids)), watch(&common, &wire))
-                    .await;
+            let stream = Rc::new(stream);
+            // A task of its own: what wakes one side must not make the other try its socket for nothing.
+            let writer = executor.spawn(write(wire.clone(), stream.clone(), common.limits.node_spent_ids));
+            let why = or(or(read(&common, &wire, &stream, &name), writer), watch(&common, &wire)).await;
             debug!(common.log, "node connection ended"; "node" => &name, "why" => &why);
         }
         Err(why) => info!(common.log, "node not reached"; "node" => &name, "why" => &why),
@@ -201,10 +206,11 @@
     }
 }
 
-async fn read(common: &Common, wire: &Wire, mut stream: &Stream, name: &str) -> String {
+async fn read(common: &Common, wire: &Wire, stream: &Stream, name: &str) -> String {
     let limits = &common.limits;
     let bounds = Bounds { items: limits.node_items, item_bytes: limits.body_bytes };
     let mut decoder = Decoder::new(bounds, limits.read_buffer);
+    let mut source = Source::new(stream);
     loop {
         match decoder.take() {
             Ok(Some(items)) => {
@@ -219,9 +225,9 @@
                 }
             }
             Ok(None) => {
-                match stream.read(decoder.room()).await {
+                match source.read_into(&mut decoder).await {
                     Ok(0) => return "closed by the node".into(),
-                    Ok(bytes) => decoder.filled(bytes),
+                    Ok(_) => {}
                     Err(why) => return why.to_string(),
                 }
                 wire.heard.set(Instant::now());
@@ -234,7 +240,7 @@
     }
 }
 
-async fn write(wire: &Wire, stream: &Stream, spent_ids: usize) -> String {
+async fn write(wire: Rc<Wire>, stream: Rc<Stream>, spent_ids: usize) -> String {
     loop {
         let next = wire.queue.borrow_mut().pop_front();
         let Some(Queued { pull, packet }) = next else {
@@ -245,7 +251,7 @@
             continue;
         };
         wire.writing.set(pull.map(|(no, _)| no));
-        let wrote = write_packets(stream, &[packet], |_| {}).await;
+        let wrote = write_packets(&stream, &[packet], |_| {}).await;
         wire.busy.set(Instant::now());
         if let Err(why) = wrote {
             return why.to_string();
