--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -3,7 +3,9 @@
 
 fn main() -> ExitCode {
     let path = std::env::args().nth(1).or_else(|| std::env::var(config::CONFIG_VARIABLE).ok());
-    let path = path.ok_or(format!("variable {} is not set, and no path was given", config::CONFIG_VARIABLE));
+    let path = path
+        .filter(|path| !path.is_empty())
+        .ok_or(format!("variable {} is not set, and no path was given", config::CONFIG_VARIABLE));
     match path.and_then(|path| config::read_file(&path)).and_then(run) {
         Ok(()) => ExitCode::SUCCESS,
         Err(why) => {
--- a/crates/router/tests/sockets.rs
+++ b/crates/router/tests/sockets.rs
@@ -53,6 +53,7 @@
     std::thread::spawn(move || {
         for stream in listener.incoming().map_while(Result::ok) {
             let (seen, reply) = (seen.clone(), reply.clone());
+            seen.lock().unwrap().push((no, vec![Bytes::from("connection")]));
             std::thread::spawn(move || {
                 let mut decoder = Decoder::new(BOUNDS, 4_096);
                 while let Some(items) = receive(&stream, &mut decoder) {
@@ -194,17 +195,17 @@
 }
 
 fn start(config: &Value) -> Child {
+    start_with(config, "exec \"$0\"")
+}
+
+fn start_with(config: &Value, script: &str) -> Child {
     static STARTS: AtomicU32 = AtomicU32::new(0);
     let name = format!("harestage-{}-{}.json", std::process::id(), STARTS.fetch_add(1, Ordering::Relaxed));
     let path = std::env::temp_dir().join(name);
     std::fs::write(&path, config.to_string()).unwrap();
-    launch(router().env("BALANCER_CONFIG", &path))
-}
-
-fn router() -> Command {
-    let mut command = Command::new(env!("CARGO_BIN_EXE_harestage-router"));
-    command.stderr(Stdio::piped());
-    command
+    let mut shell = Command::new("/bin/sh");
+    shell.args(["-c", script, env!("CARGO_BIN_EXE_harestage-router")]).stderr(Stdio::piped());
+    launch(shell.env("BALANCER_CONFIG", &path))
 }
 
 /// A process that is just being started holds copies of all sockets of this one for a moment, so that a listener
@@ -271,7 +272,8 @@
     assert_eq!(client.fetch(5, "filing", 5, "").0, "FAIL");
     assert_eq!(client.fetch(6, "unknown", 6, "").0, "FAIL");
     let seen = bed.seen.lock().unwrap();
-    let filing: Vec<_> = seen.iter().filter(|s| s.1[2].starts_with(b"kind=filing")).collect();
+    let filing: Vec<_> =
+        seen.iter().filter(|s| s.1.get(2).is_some_and(|f| f.starts_with(b"kind=filing"))).collect();
     assert_eq!(filing.len(), 1, "what may have run is not sent again");
     assert_eq!(filing[0].1[3], "\r\nbody\x00");
 }
@@ -320,6 +322,40 @@
     bed.saw("cancel", 1);
 }
 
+/// What comes after a silence goes over a fresh connection, which comes up or proves that nothing ran.
+#[test]
+fn a_connection_that_fell_silent_is_not_used_again() {
+    let bed = Bed::open(1, None, |_, fields| match fields {
+        f if f.contains("obj=0000000000000001") => Reply::Silence,
+        _ => Reply::Say("ACK", "res=HIT", b"good".to_vec()),
+    });
+    let mut client = bed.client();
+    assert_eq!(client.fetch(1, "clip", 2, "").0, "ACK");
+    client.ask(2, "clip", 1, 400, "");
+    assert_ne!(client.next().unwrap()[1], "ACK");
+    bed.saw("connection", 1);
+    assert_eq!(client.fetch(3, "clip", 3, "").0, "ACK");
+    bed.saw("connection", 2);
+}
+
+/// Accepting fails while the descriptors are used up, and goes on once some are free again.
+#[test]
+fn clients_come_in_again_after_the_descriptors_ran_out() {
+    let mut bed = Bed::open(1, None, |_, _| Reply::Say("ACK", "res=HIT", b"good".to_vec()));
+    let _ = bed.router.kill();
+    let _ = bed.router.wait();
+    bed.router = start_with(&bed.config, "ulimit -n 24; exec \"$0\"");
+    bed.is_up();
+    let crowd: Vec<Client> = (0..40).map(|_| bed.client()).collect();
+    std::thread::sleep(Duration::from_millis(100));
+    let files = std::fs::read_dir(format!("/proc/{}/fd", bed.router.id())).unwrap().count();
+    assert!(files >= 24, "{files}: the descriptors did not run out");
+    drop(crowd);
+    let mut client = bed.client();
+    client.send(&[b"STATUS", b"1", b""]);
+    assert_eq!(client.next().unwrap()[1], "GREEN");
+}
+
 #[test]
 fn a_client_that_leaves_has_its_pulls_cancelled() {
     let bed = Bed::open(1, None, |_, _| Reply::Silence);
@@ -486,6 +522,8 @@
             "{path}: {said}"
         );
     }
-    let ended = launch(router().env_remove("BALANCER_CONFIG")).wait_with_output().unwrap();
+    let mut router = Command::new(env!("CARGO_BIN_EXE_harestage-router"));
+    let ended =
+        launch(router.env_remove("BALANCER_CONFIG").stderr(Stdio::piped())).wait_with_output().unwrap();
     assert!(!ended.status.success() && String::from_utf8(ended.stderr).unwrap().contains("BALANCER_CONFIG"));
 }
