--- a/crates/router/src/program/limits.rs
+++ b/crates/router/src/program/limits.rs
@@ -41,7 +41,8 @@
     pub node_spent_ids: usize,
     /// An idle connection is closed after it, before the node does so.
     pub node_idle: Duration,
-    /// How long after its deadline a download waits for the core's answer before it is abandoned all the same.
+    /// How long after its deadline a download waits for the core's answer before it is abandoned all the
+    /// same.
     pub answer_grace: Span,
     pub feed_silence: Duration,
     pub feed_pause: Duration,
--- a/crates/router/src/program/log.rs
+++ b/crates/router/src/program/log.rs
@@ -1,5 +1,5 @@
-//! The log goes to standard error through a bounded queue: lines past it are dropped and counted, so that a slow
-//! reader of the log never holds up serving.
+//! The log goes to standard error through a bounded queue: lines past it are dropped and counted, so that a
+//! slow reader of the log never holds up serving.
 use slog::{Drain, Logger, o};
 use slog_async::{Async, AsyncGuard, OverflowStrategy};
 use slog_term::{FullFormat, PlainDecorator};
--- a/crates/router/src/routing/mod.rs
+++ b/crates/router/src/routing/mod.rs
@@ -142,8 +142,8 @@
         self.bells.first_key_value().map(|((at, _), _)| *at)
     }
 
-    /// Takes in what has come up to `now` and carries out what the core orders on it. News go before bells, so
-    /// that an answer that is here in time is not lost to a time-out of the same turn.
+    /// Takes in what has come up to `now` and carries out what the core orders on it. News go before bells,
+    /// so that an answer that is here in time is not lost to a time-out of the same turn.
     pub fn step(&mut self, now: Moment, news: impl Iterator<Item = News>, outward: &mut dyn Outward) {
         for news in news {
             self.take_in(news, now, outward);
@@ -269,7 +269,8 @@
         }));
     }
 
-    /// The core hears the news first: what is taken back because of them must not be placed again without them.
+    /// The core hears the news first: what is taken back because of them must not be placed again without
+    /// them.
     fn told(&mut self, told: Told, now: Moment, outward: &mut dyn Outward) {
         match told {
             Told::Members { whole, members } => {
@@ -306,8 +307,8 @@
         }
     }
 
-    /// What has not left yet and no longer may: a queued pull must not reach a node that drains, nor ask for a
-    /// copy by limits from before a purge.
+    /// What has not left yet and no longer may: a queued pull must not reach a node that drains, nor ask
+    /// for a copy by limits from before a purge.
     fn take_back(&mut self, meant: impl Fn(&Out, &Held) -> bool, now: Moment, outward: &mut dyn Outward) {
         let meant = |out: &Out| self.held.get(&out.dl).is_some_and(|held| meant(out, held));
         let mut pulls: Vec<(PullNo, NodeNo)> =
--- a/crates/router/src/transport/client.rs
+++ b/crates/router/src/transport/client.rs
@@ -1,5 +1,5 @@
-//! Connections from clients. Each has a reader, which stops while too much is open or unsent, a writer with its
-//! own queue, and a watch that ends connections on which a peer has stalled.
+//! Connections from clients. Each has a reader, which stops while too much is open or unsent, a writer with
+//! its own queue, and a watch that ends connections on which a peer has stalled.
 use super::{Source, Stream, write_packets};
 use crate::program::limits::Limits;
 use crate::protocol::Packet;
--- a/crates/router/src/transport/mod.rs
+++ b/crates/router/src/transport/mod.rs
@@ -1,5 +1,5 @@
-//! The sockets: clients, nodes and the control feed. What comes in goes to the routing task by its one queue, and
-//! what goes out waits in a queue for each connection. Nothing here decides.
+//! The sockets: clients, nodes and the control feed. What comes in goes to the routing task by its one
+//! queue, and what goes out waits in a queue for each connection. Nothing here decides.
 pub mod client;
 pub mod feed;
 pub mod node;
@@ -44,8 +44,8 @@
     }
 }
 
-/// Writes packets whole, as many as it can with one call to the system; `progress` hears of each piece that the
-/// socket takes.
+/// Writes packets whole, as many as it can with one call to the system; `progress` hears of each piece that
+/// the socket takes.
 async fn write_packets(
     mut to: &Stream,
     packets: &[Packet],
--- a/crates/router/src/transport/node.rs
+++ b/crates/router/src/transport/node.rs
@@ -1,5 +1,5 @@
-//! Connections to caches, parents and the origin: one for each node that carries many pulls, a further one where
-//! that is full, was replaced, or has fallen silent.
+//! Connections to caches, parents and the origin: one for each node that carries many pulls, a further one
+//! where that is full, was replaced, or has fallen silent.
 use super::{Executor, Source, Stream, write_packets};
 use crate::program::limits::Limits;
 use crate::protocol::resp::{Bounds, Decoder};
@@ -265,8 +265,8 @@
     }
 }
 
-/// Closes what nobody needs any more: a connection that was replaced once its pulls are over, and one that has
-/// been idle, before the node closes it on a pull that is just being written.
+/// Closes what nobody needs any more: a connection that was replaced once its pulls are over, and one that
+/// has been idle, before the node closes it on a pull that is just being written.
 async fn watch(common: &Common, wire: &Wire) -> String {
     loop {
         Timer::after(common.limits.watch_every).await;
