Client connections that do nothing are closed in time, and give up their place first

CPU and memory were idle. Cause: client_idle was 60 s and 'listen' stopped at half the descriptors, so that those who stay hold every place. The accept loop never yields while the backlog is full, and a client was entered only by its own task, so that a crowd was taken past the bound, up to the last descriptor (255 of 256). Bytes held bound the open downloads, by client and in all, in place of 170 downloads at 32 MB.

--- a/crates/router/src/program/limits.rs
+++ b/crates/router/src/program/limits.rs
@@ -11,12 +11,17 @@
 
 #[derive(Clone, Debug, PartialEq)]
 pub struct Limits {
-    /// Connections from clients; past it none is accepted.
+    /// Connections from clients; past it the one needed least goes, and none is accepted while all are at work.
     pub clients: usize,
     /// Connections to nodes; past it a pull that needs a new one is not sent.
     pub node_connections: usize,
-    /// Downloads that are not answered yet; past it no client is read.
+    /// Downloads that are not answered yet, and the bytes that they hold; past it no client is read.
     pub downloads: usize,
+    pub held_bytes: usize,
+    /// What one client's downloads may hold; past it that client is not read.
+    pub client_held_bytes: usize,
+    /// What a download holds beside its body.
+    pub download_bytes: usize,
     /// Open downloads on one connection.
     pub client_open: usize,
     pub client_items: usize,
@@ -29,7 +34,18 @@
     pub unsent_bytes: usize,
     /// A client that takes nothing for as long is ended.
     pub client_stall: Duration,
+    /// A client whose first message, or a further one, has not come whole in as long is ended.
+    pub client_first: Duration,
+    pub client_message: Duration,
+    /// So is one that has nothing open and has been at rest for as long: usual ones close before.
     pub client_idle: Duration,
+    /// Has to pass before a client that does nothing may lose its place to another.
+    pub client_grace: Duration,
+    /// Messages without use before their client is ended.
+    pub client_unusable: usize,
+    /// Lines about clients in the log between two sweeps.
+    pub complaints: u64,
+    pub sweep_every: Duration,
     pub node_items: usize,
     pub body_bytes: usize,
     /// Pulls that one connection carries at once.
@@ -66,9 +82,12 @@
     pub fn new(memory_mb: usize, sockets: usize, outside: &Outside) -> Limits {
         let memory = memory_mb << 20;
         Limits {
-            clients: (sockets / 2).max(1),
+            clients: (sockets / 8 * 5).max(1),
             node_connections: (sockets / 4).max(1),
-            downloads: (memory / 4 / WRITE_BODY).clamp(1, outside.most_held.max(1)),
+            downloads: outside.most_held.max(1),
+            held_bytes: memory / 8,
+            client_held_bytes: memory / 64,
+            download_bytes: 1_500,
             client_open: OPEN_ON_A_CONNECTION,
             client_items: 8,
             client_item_bytes: WRITE_BODY,
@@ -76,7 +95,13 @@
             packets_at_once: 32,
             unsent_bytes: (memory / 4).max(2 * BODY),
             client_stall: Duration::from_secs(6),
-            client_idle: Duration::from_secs(60),
+            client_first: Duration::from_secs(2),
+            client_message: Duration::from_secs(2),
+            client_idle: Duration::from_secs(5),
+            client_grace: Duration::from_millis(100),
+            client_unusable: 8,
+            complaints: 5,
+            sweep_every: Duration::from_millis(250),
             node_items: 8,
             body_bytes: BODY,
             node_pulls: outside.pulls_per_connection,
--- a/crates/router/src/program/mod.rs
+++ b/crates/router/src/program/mod.rs
@@ -56,6 +56,7 @@
     let feed = feed::Feed { limits: limits_of, inbox, log: log.clone(), place: place_of, last };
     executor.spawn(feed::follow(feed)).detach();
     let listening = executor.spawn(client::listen(clients.clone(), listener, executor.clone()));
+    let sweeping = executor.spawn(client::sweep(clients.clone()));
     clients.set_ready(true);
     info!(log, "ready"; "listen" => %listen, "known" => known_last, "limits" => ?limits);
     until_told_to_end(&mut signals, path, &place, &log).await;
@@ -66,7 +67,7 @@
         }
     };
     or(drain(&clients, &limits, &log), deaf_to_ends).await;
-    drop(listening);
+    drop((listening, sweeping));
     info!(log, "ended"; "open" => clients.open());
     Ok(())
 }
--- a/crates/router/src/transport/client.rs
+++ b/crates/router/src/transport/client.rs
@@ -1,5 +1,6 @@
-//! Connections from clients. Each has a reader, which stops while too much is open or unsent, a writer with
-//! its own queue, and a watch that ends connections on which a peer has stalled.
+//! Connections from clients. Each has a reader, which stops while too much is open or unsent, and a writer with
+//! its own queue. One sweep over all of them ends those that have stalled, and where no more connections may
+//! be held, the one that is needed least.
 use super::{Source, Stream, write_packets};
 use crate::program::limits::Limits;
 use crate::protocol::Packet;
@@ -13,21 +14,78 @@
 use futures_lite::future::or;
 use slog::{Logger, debug, info, warn};
 use std::cell::{Cell, RefCell};
-use std::collections::{HashMap, HashSet, VecDeque};
+use std::collections::{HashMap, VecDeque};
 use std::net::TcpListener;
 use std::rc::Rc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
+
+/// What a client that has nothing open is taken to be about.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+enum Stand {
+    /// No whole message has come from it yet.
+    New,
+    /// A further message has begun to come in.
+    Inside,
+    /// Nothing is under way.
+    AtRest,
+}
 
 /// One client connection, as far as others than its own task need it.
 struct Line {
     queue: RefCell<VecDeque<Packet>>,
-    open: RefCell<HashSet<u64>>,
+    /// Downloads that are not answered yet, by tag, and the bytes that each holds.
+    open: RefCell<HashMap<u64, usize>>,
+    held: Cell<usize>,
     unsent: Cell<usize>,
     wrote: Cell<Instant>,
-    read: Cell<Instant>,
-    ending: Cell<bool>,
+    stand: Cell<Stand>,
+    /// Since when it stands so.
+    since: Cell<Instant>,
+    ending: Cell<Option<&'static str>>,
     wake: Event,
     room: Event,
+    ended: Event,
+}
+
+impl Line {
+    fn stands(&self, stand: Stand) {
+        self.stand.set(stand);
+        self.since.set(Instant::now());
+    }
+
+    fn has_nothing_open(&self) -> bool {
+        self.unsent.get() == 0 && self.open.borrow().is_empty()
+    }
+
+    fn end(&self, why: &'static str) {
+        self.ending.set(Some(why));
+        self.ended.notify(usize::MAX);
+    }
+
+    /// Why it has to go, if it has.
+    fn overdue(&self, limits: &Limits) -> Option<&'static str> {
+        let stood = self.since.get().elapsed();
+        if self.unsent.get() > 0 {
+            return (self.wrote.get().elapsed() > limits.client_stall).then_some("the client takes nothing");
+        }
+        // What is read no further because of open downloads is not the client's delay.
+        match self.stand.get() {
+            Stand::New => (stood > limits.client_first).then_some("no message came"),
+            Stand::Inside if self.open.borrow().is_empty() => {
+                (stood > limits.client_message).then_some("a message did not end")
+            }
+            Stand::AtRest if self.open.borrow().is_empty() => (stood > limits.client_idle).then_some("idle"),
+            _ => None,
+        }
+    }
+
+    /// How well a further client may have this one's place: first those that never said anything, then the one
+    /// at rest for longest. None: it has something open, or had no time to speak.
+    fn spare(&self, limits: &Limits) -> Option<(bool, Duration)> {
+        let (stand, stood) = (self.stand.get(), self.since.get().elapsed());
+        let may_go = self.ending.get().is_none() && self.has_nothing_open() && stood > limits.client_grace;
+        may_go.then_some((stand == Stand::New, stood))
+    }
 }
 
 /// All client connections.
@@ -38,7 +96,10 @@
     log: Logger,
     lines: RefCell<HashMap<ClientNo, Rc<Line>>>,
     open: Cell<usize>,
+    held: Cell<usize>,
     unsent: Cell<usize>,
+    /// Lines about clients in the log since the last sweep, those that were left out among them.
+    complaints: Cell<u64>,
     last: Cell<ClientNo>,
     asked: Cell<Instant>,
     ready: Cell<bool>,
@@ -55,7 +116,9 @@
             log,
             lines: RefCell::default(),
             open: Cell::new(0),
+            held: Cell::new(0),
             unsent: Cell::new(0),
+            complaints: Cell::new(0),
             last: Cell::new(0),
             asked: Cell::new(Instant::now()),
             ready: Cell::new(false),
@@ -84,9 +147,8 @@
     /// Answers a download that is still open; a client that has gone or said never mind gets nothing.
     pub fn answer(&self, client: ClientNo, tag: u64, answer: &ToClient) {
         let line = self.lines.borrow().get(&client).cloned();
-        let Some(line) = line.filter(|line| line.open.borrow_mut().remove(&tag)) else { return };
-        self.closed_one(&line);
-        if !line.ending.get() {
+        let Some(line) = line.filter(|line| self.close_one(line, tag)) else { return };
+        if line.ending.get().is_none() {
             self.queue(&line, client::write(tag, answer));
         }
     }
@@ -95,15 +157,35 @@
     pub fn abandon_all(&self) {
         let lines: Vec<_> = self.lines.borrow().iter().map(|(no, line)| (*no, line.clone())).collect();
         for (no, line) in lines {
-            let tags: Vec<u64> = line.open.borrow().iter().copied().collect();
+            let tags: Vec<u64> = line.open.borrow().keys().copied().collect();
             tags.into_iter().for_each(|tag| self.answer(no, tag, &ToClient::Abandoned));
         }
     }
 
-    fn closed_one(&self, line: &Line) {
+    fn open_one(&self, line: &Line, tag: u64, bytes: usize) {
+        line.open.borrow_mut().insert(tag, bytes);
+        line.held.set(line.held.get() + bytes);
+        self.held.set(self.held.get() + bytes);
+        self.open.set(self.open.get() + 1);
+        self.asked.set(Instant::now());
+    }
+
+    fn close_one(&self, line: &Line, tag: u64) -> bool {
+        let Some(bytes) = line.open.borrow_mut().remove(&tag) else { return false };
+        line.held.set(line.held.get() - bytes);
+        self.held.set(self.held.get() - bytes);
         self.open.set(self.open.get() - 1);
         self.room.notify(usize::MAX);
         line.room.notify(usize::MAX);
+        true
+    }
+
+    /// Guards the log, and the core that writes it, against clients that misbehave by hundreds.
+    fn complain(&self, client: ClientNo, what: &str, why: &str) {
+        self.complaints.set(self.complaints.get() + 1);
+        if self.complaints.get() <= self.limits.complaints {
+            info!(self.log, "{}", what; "client" => client, "why" => why);
+        }
     }
 
     fn queue(&self, line: &Line, packet: Packet) {
@@ -122,12 +204,13 @@
     /// Guards the memory limit against clients that ask and don't read: the one with most waiting goes.
     fn end_fullest(&self) {
         let lines = self.lines.borrow();
-        let fullest =
-            lines.iter().filter(|(_, l)| !l.ending.get()).max_by_key(|(no, l)| (l.unsent.get(), **no));
+        let fullest = lines
+            .iter()
+            .filter(|(_, l)| l.ending.get().is_none())
+            .max_by_key(|(no, l)| (l.unsent.get(), **no));
         if let Some((no, line)) = fullest {
             warn!(self.log, "client ended: too much unsent"; "client" => no, "bytes" => line.unsent.get());
-            line.ending.set(true);
-            line.wake.notify(usize::MAX);
+            line.end("too much unsent");
             // Counted out at once, or the next answer would end the next client for the same bytes.
             line.queue.borrow_mut().clear();
             self.unsent.set(self.unsent.get() - line.unsent.replace(0));
@@ -139,12 +222,15 @@
         let line = Rc::new(Line {
             queue: RefCell::default(),
             open: RefCell::default(),
+            held: Cell::new(0),
             unsent: Cell::new(0),
             wrote: Cell::new(now),
-            read: Cell::new(now),
-            ending: Cell::new(false),
+            stand: Cell::new(Stand::New),
+            since: Cell::new(now),
+            ending: Cell::new(None),
             wake: Event::new(),
             room: Event::new(),
+            ended: Event::new(),
         });
         self.last.set(self.last.get() + 1);
         self.lines.borrow_mut().insert(self.last.get(), line.clone());
@@ -156,6 +242,7 @@
         self.unsent.set(self.unsent.get() - line.unsent.get());
         let open = line.open.borrow().len();
         self.open.set(self.open.get() - open);
+        self.held.set(self.held.get() - line.held.get());
         self.room.notify(usize::MAX);
         if open > 0 {
             let _ = self.inbox.send(News::HungUp { client }).await;
@@ -163,20 +250,54 @@
     }
 }
 
-/// Accepts for as long as it is polled, also after the machine has run out of descriptors for a while.
+/// Ends what is overdue, for as long as it is polled.
+pub async fn sweep(clients: Rc<Clients>) {
+    loop {
+        Timer::after(clients.limits.sweep_every).await;
+        for line in clients.lines.borrow().values().filter(|line| line.ending.get().is_none()) {
+            if let Some(why) = line.overdue(&clients.limits) {
+                line.end(why);
+            }
+        }
+        let left_out = clients.complaints.take().saturating_sub(clients.limits.complaints);
+        if left_out > 0 {
+            info!(clients.log, "lines about clients left out"; "lines" => left_out);
+        }
+    }
+}
+
+/// Ends the client that is needed least; false if all are at work or have just come.
+fn make_room(clients: &Clients) -> bool {
+    let lines = clients.lines.borrow();
+    let spare = lines.iter().filter_map(|(no, line)| Some((line.spare(&clients.limits)?, *no, line)));
+    let Some((_, _, line)) = spare.max_by_key(|(spare, no, _)| (*spare, *no)) else { return false };
+    line.end("its place was needed");
+    true
+}
+
+/// Accepts for as long as it is polled, also after the machine has run out of descriptors for a while. Guards
+/// against clients that come by hundreds and keep their connections: those that do nothing go first.
 pub async fn listen(clients: Rc<Clients>, listener: Async<TcpListener>, executor: super::Executor) {
     let mut refused = false;
     loop {
         while clients.lines.borrow().len() >= clients.limits.clients {
             let room = clients.room.listen();
-            if clients.lines.borrow().len() >= clients.limits.clients {
-                room.await;
+            let ending = clients.lines.borrow().values().any(|line| line.ending.get().is_some());
+            if !ending {
+                make_room(&clients);
             }
+            let spared = async {
+                Timer::after(clients.limits.client_grace / 2).await;
+            };
+            or(room, spared).await;
         }
         match listener.accept().await {
             Ok((stream, _)) => {
                 refused = false;
-                executor.spawn(serve(clients.clone(), Rc::new(stream), executor.clone())).detach();
+                // Entered here and not by its task, which may run only after many more were accepted.
+                let (no, line) = clients.enter();
+                let served = serve(clients.clone(), no, line, Rc::new(stream), executor.clone());
+                executor.spawn(served).detach();
             }
             Err(why) => {
                 if !refused {
@@ -190,11 +311,16 @@
 }
 
 /// The writer is a task of its own: what wakes one side must not make the other try its socket for nothing.
-async fn serve(clients: Rc<Clients>, stream: Rc<Stream>, executor: super::Executor) {
+async fn serve(
+    clients: Rc<Clients>,
+    no: ClientNo,
+    line: Rc<Line>,
+    stream: Rc<Stream>,
+    executor: super::Executor,
+) {
     let _ = stream.get_ref().set_nodelay(true);
-    let (no, line) = clients.enter();
     let writer = executor.spawn(write(clients.clone(), line.clone(), stream.clone()));
-    let why = or(or(read(&clients, no, &line, &stream), writer), watch(&clients, &line)).await;
+    let why = or(or(read(&clients, no, &line, &stream), writer), end_of(&line)).await;
     debug!(clients.log, "client gone"; "client" => no, "why" => &why);
     clients.leave(no).await;
 }
@@ -204,63 +330,66 @@
     let bounds = Bounds { items: limits.client_items, item_bytes: limits.client_item_bytes };
     let mut decoder = Decoder::new(bounds, limits.read_buffer);
     let mut source = Source::new(stream);
+    let mut unusable = 0;
     loop {
-        let items = match decoder.take() {
-            Ok(Some(items)) => items,
+        let taken = match decoder.take() {
+            Ok(Some(items)) => client::read(items),
             Ok(None) => {
+                if decoder.is_inside() && line.stand.get() == Stand::AtRest {
+                    line.stands(Stand::Inside);
+                }
                 match source.read_into(&mut decoder).await {
                     Ok(0) => return "closed by the client".into(),
-                    Ok(_) => {}
+                    Ok(_) => continue,
                     Err(why) => return why.to_string(),
                 }
-                line.read.set(Instant::now());
-                continue;
-            }
-            Err(fault) => {
-                info!(clients.log, "client ended: unreadable"; "client" => no, "why" => %fault);
-                return fault.to_string();
             }
+            Err(fault) => Err(fault),
         };
-        let message = match client::read(items) {
+        let message = match taken {
             Ok(message) => message,
             Err(fault) => {
-                info!(clients.log, "client ended: unreadable"; "client" => no, "why" => %fault);
+                clients.complain(no, "client ended: unreadable", &fault.to_string());
                 return fault.to_string();
             }
         };
+        line.stands(Stand::AtRest);
         // Two answers under one tag could not be told apart, whatever they said.
         let tag = message.answered_under();
-        if tag.is_some_and(|tag| line.open.borrow().contains(&tag)) {
-            info!(clients.log, "client ended: a tag twice"; "client" => no);
+        if tag.is_some_and(|tag| line.open.borrow().contains_key(&tag)) {
+            clients.complain(no, "client ended: a tag twice", "");
             return "a tag twice".into();
         }
-        match message {
+        let refused = match message {
             FromClient::Status { tag } => {
                 let ready = if clients.ready.get() { ToClient::Ready } else { ToClient::NotReady };
                 clients.queue(line, client::write(tag, &ready));
+                None
             }
-            FromClient::Unusable { tag, why } => {
-                info!(clients.log, "client message unusable"; "client" => no, "why" => why);
-                clients.queue(line, client::write(tag, &ToClient::Abandoned));
-            }
+            FromClient::Unusable { tag, why } => Some((tag, why)),
             FromClient::NeverMind { tag } => {
-                if line.open.borrow_mut().remove(&tag) {
-                    clients.closed_one(line);
+                if clients.close_one(line, tag) {
                     let _ = clients.inbox.send(News::NeverMind { client: no, tag }).await;
                 }
+                None
+            }
+            FromClient::Wish { tag, .. } if line.open.borrow().len() >= limits.client_open => {
+                Some((tag, "too many open"))
             }
             FromClient::Wish { tag, wish } => {
                 let at = clients.clock.now();
-                if line.open.borrow().len() >= limits.client_open {
-                    info!(clients.log, "client message unusable"; "client" => no, "why" => "too many open");
-                    clients.queue(line, client::write(tag, &ToClient::Abandoned));
-                    continue;
-                }
-                line.open.borrow_mut().insert(tag);
-                clients.open.set(clients.open.get() + 1);
-                clients.asked.set(Instant::now());
+                clients.open_one(line, tag, wish.body.len() + limits.download_bytes);
                 let _ = clients.inbox.send(News::Asked { client: no, tag, wish, at }).await;
+                None
+            }
+        };
+        if let Some((tag, why)) = refused {
+            unusable += 1;
+            if unusable > limits.client_unusable {
+                return "too many unusable messages".into();
             }
+            clients.complain(no, "client message unusable", why);
+            clients.queue(line, client::write(tag, &ToClient::Abandoned));
         }
         wait_for_room(clients, line).await;
     }
@@ -269,8 +398,9 @@
 /// Backpressure: past a bound nothing more is read from this client.
 async fn wait_for_room(clients: &Clients, line: &Line) {
     let limits = &clients.limits;
-    let full = || clients.open.get() >= limits.downloads;
-    let behind = || line.unsent.get() >= limits.client_unsent_bytes;
+    let full = || clients.open.get() >= limits.downloads || clients.held.get() >= limits.held_bytes;
+    let behind =
+        || line.unsent.get() >= limits.client_unsent_bytes || line.held.get() >= limits.client_held_bytes;
     while full() || behind() {
         let (all, own) = (clients.room.listen(), line.room.listen());
         if full() {
@@ -291,19 +421,19 @@
         let packets = take_packets(&mut line.queue.borrow_mut(), clients.limits.packets_at_once);
         if packets.is_empty() {
             let wake = line.wake.listen();
-            if line.queue.borrow().is_empty() && !line.ending.get() {
+            if line.queue.borrow().is_empty() {
                 wake.await;
             }
-            if line.ending.get() {
-                return "ended here".into();
-            }
             continue;
         }
         let progress = |bytes| {
-            if line.ending.get() {
+            if line.ending.get().is_some() {
                 return;
             }
             line.wrote.set(Instant::now());
+            if line.stand.get() == Stand::AtRest {
+                line.since.set(line.wrote.get());
+            }
             line.unsent.set(line.unsent.get() - bytes);
             clients.unsent.set(clients.unsent.get() - bytes);
             line.room.notify(usize::MAX);
@@ -314,20 +444,13 @@
     }
 }
 
-/// Ends a connection whose client takes nothing, stops inside a message, or has been silent for long.
-async fn watch(clients: &Clients, line: &Line) -> String {
-    let limits = &clients.limits;
+/// Waits until someone else ends this connection.
+async fn end_of(line: &Line) -> String {
     loop {
-        Timer::after(limits.watch_every).await;
-        if line.ending.get() {
-            return "ended here".into();
-        }
-        if line.unsent.get() > 0 && line.wrote.get().elapsed() > limits.client_stall {
-            return "the client takes nothing".into();
-        }
-        let quiet = line.unsent.get() == 0 && line.open.borrow().is_empty();
-        if quiet && line.read.get().elapsed() > limits.client_idle {
-            return "idle".into();
+        let ended = line.ended.listen();
+        if let Some(why) = line.ending.get() {
+            return why.into();
         }
+        ended.await;
     }
 }
--- a/crates/router/tests/sockets.rs
+++ b/crates/router/tests/sockets.rs
@@ -419,6 +419,69 @@
     assert_eq!(many.next().unwrap()[..2], ["33", "FAIL"]);
 }
 
+/// Guards the descriptors against clients that keep connections for nothing. What is under way stays.
+#[test]
+fn connections_that_get_nowhere_are_closed_in_time() {
+    let bed = Bed::open(1, None, |_, fields| match fields {
+        f if f.contains("obj=0000000000000001") => Reply::After(3_500, "ACK"),
+        _ => Reply::Say("ACK", "res=HIT", b"good".to_vec()),
+    });
+    let since = Instant::now();
+    let (mut silent, mut half, mut slow) = (bed.client(), bed.client(), bed.client());
+    let (mut rested, mut waits) = (bed.client(), bed.client());
+    (&half.stream).write_all(b"*5\r\n$3\r\nAS").unwrap();
+    assert_eq!(slow.fetch(1, "clip", 2, "").0, "ACK");
+    let mut sender = slow.stream.try_clone().unwrap();
+    std::thread::spawn(move || {
+        for byte in b"*5\r\n$3\r\nASK\r\n$1\r\n7\r\n$4\r\nclip\r\n$200\r\n".iter().chain([b'x'; 30].iter()) {
+            std::thread::sleep(Duration::from_millis(100));
+            let _ = sender.write_all(&[*byte]);
+        }
+    });
+    waits.ask(1, "clip", 1, 5_000, "");
+    assert_eq!(rested.fetch(1, "clip", 3, "").0, "ACK");
+    for (what, client) in [("silent", &mut silent), ("half", &mut half), ("slow", &mut slow)] {
+        assert!(client.next().is_none());
+        assert!(since.elapsed() < Duration::from_millis(3_000), "{what}: {:?}", since.elapsed());
+    }
+    assert_eq!(rested.fetch(2, "clip", 4, "").0, "ACK", "closed before usual clients close");
+    let rests = Instant::now();
+    assert_eq!(waits.next().expect("not closed under a download")[1], "ACK");
+    assert!(rested.next().is_none());
+    let rested = rests.elapsed();
+    assert!(rested > Duration::from_millis(4_000) && rested < Duration::from_millis(6_000), "{rested:?}");
+}
+
+/// Guards the place of usual clients against crowds that connect and say nothing, or ask once and stay.
+#[test]
+fn a_crowd_that_does_nothing_shuts_nobody_out() {
+    let mut bed = Bed::open(1, None, |_, fields| match fields {
+        f if f.contains("obj=0000000000000001") => Reply::After(1_500, "ACK"),
+        _ => Reply::Say("ACK", "res=HIT", b"good".to_vec()),
+    });
+    let _ = bed.router.kill();
+    let _ = bed.router.wait();
+    bed.config["limits"]["sockets"] = json!(64);
+    bed.router = start(&bed.config);
+    bed.is_up();
+    let mut waits = bed.client();
+    waits.ask(1, "clip", 1, 3_000, "");
+    bed.saw("serve", 1);
+    let asks_once = |_| {
+        let mut client = bed.client();
+        assert_eq!(client.fetch(1, "clip", 2, "").0, "ACK");
+        client
+    };
+    let mut crowd: Vec<Client> = (0..60).map(asks_once).collect();
+    crowd.extend((0..60).map(|_| bed.client()));
+    let asked = Instant::now();
+    assert_eq!(bed.client().fetch(1, "clip", 3, "").0, "ACK");
+    assert!(asked.elapsed() < Duration::from_millis(700), "{:?}", asked.elapsed());
+    let files = std::fs::read_dir(format!("/proc/{}/fd", bed.router.id())).unwrap().count();
+    assert!(files <= 64, "{files}");
+    assert_eq!(waits.next().expect("under way, so it stays")[1], "ACK");
+}
+
 /// Answers wait for clients that do not read them, within bounds, while others are served. Past the bound on all
 /// of them only as many clients go as have to.
 #[test]
