Few pulls share a node connection, and what clients word is checked before it goes on

Cause: Links::pull put all pulls for a node on one connection, and renewed its trust by any byte ('heard'), though a wrong length swallows the answers after it. Changed in transport/node.rs: three pulls a connection before a further one is opened, within a bound for each node and for all, where the idle give way; a connection on which a pull waits and no whole answer came for 250 ms gets nothing new while there is another; one on which an answer stands half read for 700 ms is ended; never two pulls of one id on one connection. Answers that lack their body are unreadable.

--- a/crates/router/src/program/limits.rs
+++ b/crates/router/src/program/limits.rs
@@ -13,7 +13,8 @@
 pub struct Limits {
     /// Connections from clients; past it the one needed least goes, and none is accepted while all are at work.
     pub clients: usize,
-    /// Connections to nodes; past it a pull that needs a new one is not sent.
+    /// Connections to nodes; past it one that is idle goes, and without one a pull that needs a new one is not
+    /// sent.
     pub node_connections: usize,
     /// Downloads that are not answered yet, and the bytes that they hold; past it no client is read.
     pub downloads: usize,
@@ -51,8 +52,14 @@
     /// Pulls that one connection carries at once.
     pub node_pulls: usize,
     pub connect_within: Duration,
-    /// A connection on which a pull got nothing for as long before it was given up is not used again.
+    /// Pulls on each of a node's connections before a further one is opened, and such connections at most.
+    pub node_few: usize,
+    pub node_own_connections: usize,
+    /// A connection on which a pull has waited as long, and no whole answer came, gets no further ones while
+    /// there is another; it is not used again once such a pull was given up.
     pub node_silence: Duration,
+    /// A connection on which an answer stands half read for as long without another byte is ended.
+    pub node_halt: Duration,
     /// Ids given up on a connection that are still told from new ones.
     pub node_spent_ids: usize,
     /// An idle connection is closed after it, before the node does so.
@@ -60,6 +67,9 @@
     /// How long after its deadline a download waits for the core's answer before it is abandoned all the
     /// same.
     pub answer_grace: Span,
+    /// How long a node that is gone is remembered: longer than any download lasts, and than the core believes
+    /// in what a cache held.
+    pub gone_kept: Span,
     pub feed_silence: Duration,
     pub feed_pause: Duration,
     pub feed_line_bytes: usize,
@@ -106,10 +116,14 @@
             body_bytes: BODY,
             node_pulls: outside.pulls_per_connection,
             connect_within: Duration::from_micros(outside.connect_within.as_micros()),
+            node_few: 3,
+            node_own_connections: (sockets / 32).max(1),
             node_silence: Duration::from_millis(250),
+            node_halt: Duration::from_millis(700),
             node_spent_ids: 256,
             node_idle: Duration::from_micros(outside.idle_closes_after.as_micros()).mul_f64(0.8),
             answer_grace: Span::millis(20),
+            gone_kept: Span::millis(90_000),
             feed_silence: Duration::from_millis(1_800),
             feed_pause: Duration::from_millis(200),
             feed_line_bytes: 1 << 20,
--- a/crates/router/src/protocol/client.rs
+++ b/crates/router/src/protocol/client.rs
@@ -4,6 +4,12 @@
 use super::resp::{self, Fault};
 use bytes::Bytes;
 
+/// The protocol's own bounds.
+const GROUPS: u64 = 256;
+/// Longer waits are no figures: nobody waits an hour for an object.
+const LONGEST_WAIT_MS: u64 = 3_600_000;
+const LONGEST_HELD_TAG: usize = 64;
+
 /// A download as its client words it.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Wish {
@@ -64,7 +70,7 @@
 }
 
 pub fn read(items: Vec<Bytes>) -> Result<FromClient, Fault> {
-    let tag = items.get(1).and_then(fields::number::<u64>).filter(|tag| *tag > 0).ok_or(Fault::Tag)?;
+    let tag = items.get(1).and_then(fields::whole).filter(|tag| *tag > 0).ok_or(Fault::Tag)?;
     Ok(match items[0].as_ref() {
         b"ASK" => match read_wish(&items) {
             Ok(wish) => FromClient::Wish { tag, wish },
@@ -76,37 +82,43 @@
     })
 }
 
+/// Checks each field by the form that the protocol gives it: a cache closes on what it can't read, with all that
+/// is open on that connection, and one client must not cost others theirs.
 fn read_wish(items: &[Bytes]) -> Result<Wish, &'static str> {
-    let content = items.get(2).cloned().ok_or("no content type")?;
-    let none = Bytes::new();
-    let list = items.get(3).unwrap_or(&none);
+    let [_, _, content, list, body] = items else { return Err("not of five items") };
     let (mut id, mut object, mut waits_ms) = (None, None, None);
-    let (mut part, mut group, mut repeat, mut held) = (Some(0), Some(0), false, None);
+    let (mut part, mut group, mut repeat, mut held) = (Some(0), Some(0), Some(false), Some(None));
     for (name, value) in fields::read(list) {
         match name {
             b"i" => id = Hex::read(&value),
             b"o" => object = Hex::read(&value),
-            b"d" => waits_ms = fields::number(&value),
-            b"chunk" => part = fields::number(&value),
-            b"tag" => group = fields::number(&value),
-            b"r" => repeat = value.as_ref() != b"0",
-            b"known" => held = Some(value).filter(|v| !v.is_empty()),
+            b"d" => waits_ms = fields::whole(&value).filter(|ms| (1..=LONGEST_WAIT_MS).contains(ms)),
+            b"chunk" => part = fields::whole(&value).and_then(|part| u32::try_from(part).ok()),
+            b"tag" => group = fields::whole(&value).filter(|group| *group < GROUPS),
+            b"r" => repeat = matches!(value.as_ref(), b"0" | b"1").then_some(value.as_ref() == b"1"),
+            b"known" => held = read_held(value),
             _ => {}
         }
     }
     Ok(Wish {
         id: id.ok_or("field i is missing or malformed")?,
-        content,
+        content: content.clone(),
         object: object.ok_or("field o is missing or malformed")?,
         part: part.ok_or("field chunk is malformed")?,
-        group: group.ok_or("field tag is malformed")?,
+        group: group.ok_or("field tag is malformed")? as u32,
         waits_ms: waits_ms.ok_or("field d is missing or malformed")?,
-        repeat,
-        held,
-        body: items.get(4).cloned().unwrap_or_default(),
+        repeat: repeat.ok_or("field r is malformed")?,
+        held: held.ok_or("field known is malformed")?,
+        body: body.clone(),
     })
 }
 
+/// An empty one is none; what can't stand in a list of fields is malformed.
+fn read_held(tag: Bytes) -> Option<Option<Bytes>> {
+    let plain = tag.iter().all(u8::is_ascii_alphanumeric) && tag.len() <= LONGEST_HELD_TAG;
+    plain.then(|| Some(tag).filter(|tag| !tag.is_empty()))
+}
+
 pub fn write(tag: u64, answer: &ToClient) -> Packet {
     let (word, fields, body) = match answer {
         ToClient::Fulfilled { body } => ("ACK", Fields::default(), body.clone()),
--- a/crates/router/src/protocol/fields.rs
+++ b/crates/router/src/protocol/fields.rs
@@ -29,6 +29,12 @@
     })
 }
 
+/// A decimal number in its one usual form: no sign, no leading zero. What goes on must not change on its way.
+pub fn whole(value: &Bytes) -> Option<u64> {
+    let usual = value.iter().all(u8::is_ascii_digit) && (value.len() == 1 || !value.starts_with(b"0"));
+    number(value).filter(|_| usual)
+}
+
 pub fn number<T: std::str::FromStr>(value: &Bytes) -> Option<T> {
     std::str::from_utf8(value).ok()?.parse().ok()
 }
--- a/crates/router/src/protocol/node.rs
+++ b/crates/router/src/protocol/node.rs
@@ -77,8 +77,9 @@
 
 /// None: the answer can't be read.
 pub fn read(items: &[Bytes]) -> Option<Answer> {
-    let id = Hex::read(items.first()?)?;
-    let word = match items.get(1)?.as_ref() {
+    let [id, word, list, body] = items else { return None };
+    let id = Hex::read(id)?;
+    let word = match word.as_ref() {
         b"ACK" => Word::Good,
         b"NOMOD" => Word::StillGood,
         b"NOENT" => Word::Lacks,
@@ -88,14 +89,14 @@
         _ => return None,
     };
     let (mut remark, mut first_ms) = (Remark::Nothing, 0.0);
-    for (name, value) in items.get(2).into_iter().flat_map(fields::read) {
+    for (name, value) in fields::read(list) {
         match name {
             b"res" => remark = read_remark(&value),
             b"first" => first_ms = fields::number(&value).filter(|ms: &f64| ms.is_finite()).unwrap_or(0.0),
             _ => {}
         }
     }
-    Some(Answer { id, word, remark, first_ms, body: items.get(3).cloned().unwrap_or_default() })
+    Some(Answer { id, word, remark, first_ms, body: body.clone() })
 }
 
 fn read_remark(word: &[u8]) -> Remark {
--- a/crates/router/src/routing/mod.rs
+++ b/crates/router/src/routing/mod.rs
@@ -14,7 +14,7 @@
 use harestage::time::{Moment, Span};
 use harestage_profile::{Kinds, Outside};
 use nodes::{Contact, Contacts, NodeNo};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 
 pub type ClientNo = u64;
 pub type PullNo = u64;
@@ -52,6 +52,8 @@
     fn take_back(&mut self, node: NodeNo, pull: PullNo) -> bool;
     /// Nothing new goes over the connections that this node has now.
     fn renew(&mut self, node: NodeNo);
+    /// Nothing is sent to this node any more.
+    fn forget(&mut self, node: NodeNo);
 }
 
 #[derive(Clone, Copy)]
@@ -60,6 +62,7 @@
     PullTimesOut(PullNo),
     Deadline(DlNo),
     Overdue(DlNo),
+    Forget(NodeNo),
 }
 
 struct Out {
@@ -89,6 +92,8 @@
     pub outside: Outside,
     /// How long after its deadline a download waits for the core's answer before it is abandoned here.
     pub answer_grace: Span,
+    /// How long a node that is gone is remembered.
+    pub gone_kept: Span,
 }
 
 pub struct Routing {
@@ -97,10 +102,13 @@
     kinds: Kinds,
     outside: Outside,
     answer_grace: Span,
+    gone_kept: Span,
     contents: HashMap<Vec<u8>, ContentIx>,
     contacts: Contacts,
     held: HashMap<DlNo, Held>,
     open: HashMap<(ClientNo, u64), DlNo>,
+    /// Those whose downloads are held, so that no two are under way under one.
+    ids: HashSet<Hex>,
     out: HashMap<PullNo, Out>,
     bells: BTreeMap<BellNo, Bell>,
     events: Vec<Event>,
@@ -111,18 +119,20 @@
 
 impl Routing {
     pub fn open(terms: Terms, seed: u64, now: Moment) -> Routing {
-        let Terms { profile, kinds, outside, answer_grace } = terms;
+        let Terms { profile, kinds, outside, answer_grace, gone_kept } = terms;
         let names = outside.contents.iter().enumerate();
         Routing {
             brain: Brain::open(profile, seed, now),
             register: Register::default(),
             kinds,
             answer_grace,
+            gone_kept,
             contents: names.map(|(at, n)| (n.clone().into_bytes(), ContentIx(at as u16))).collect(),
             outside,
             contacts: Contacts::default(),
             held: HashMap::new(),
             open: HashMap::new(),
+            ids: HashSet::new(),
             out: HashMap::new(),
             bells: BTreeMap::new(),
             events: Vec::new(),
@@ -188,6 +198,11 @@
         let Some(content) = self.contents.get(wish.content.as_ref()).copied() else {
             return outward.answer(client, tag, ToClient::Abandoned);
         };
+        // Guards against a client that uses the id of another download: on one connection to a node the answers
+        // to both could not be told apart, and the bytes of one object would pass for the other's.
+        if !self.ids.insert(wish.id) {
+            return outward.answer(client, tag, ToClient::Abandoned);
+        }
         self.last_dl += 1;
         let dl = self.last_dl;
         let leaves_at = at + Span::millis(wish.waits_ms.min(u64::from(u32::MAX)));
@@ -275,20 +290,28 @@
         match told {
             Told::Members { whole, members } => {
                 let mut listings = Vec::with_capacity(members.len());
-                let mut closed = Vec::new();
+                let (mut closed, mut gone) = (Vec::new(), Vec::new());
                 for member in &members {
-                    let said = self.contacts.enter(member, &mut self.register, self.kinds, &self.outside);
+                    let said =
+                        self.contacts.enter(member, &mut self.register, self.kinds, &self.outside, now);
                     if said.replaced {
                         outward.renew(said.node);
                     }
-                    if said.listing.phase != Phase::Ready {
-                        closed.push(said.node);
+                    match said.listing.phase {
+                        Phase::Ready => {}
+                        Phase::Draining => closed.push(said.node),
+                        Phase::Gone => gone.push(said.node),
                     }
                     listings.push(said.listing);
                 }
                 if whole {
-                    closed.extend(self.contacts.left_out(&members));
+                    gone.extend(self.contacts.left_out(&members, now));
+                }
+                for node in &gone {
+                    outward.renew(*node);
+                    self.set(now + self.gone_kept, Bell::Forget(*node));
                 }
+                closed.extend(gone);
                 let news = if whole { RosterNews::Whole } else { RosterNews::Changes };
                 self.events.push(Event::Roster { news, listings });
                 let is_closed = |node: &NodeNo| closed.contains(node);
@@ -337,6 +360,14 @@
                     self.set(now + self.answer_grace, Bell::Overdue(dl));
                 }
             }
+            Bell::Forget(node) => {
+                let in_use = |out: &Out| out.node == node || out.source == Some(node);
+                if self.out.values().any(in_use) {
+                    self.set(now + self.gone_kept, Bell::Forget(node));
+                } else if self.contacts.forget(node, self.gone_kept, now, &mut self.register) {
+                    outward.forget(node);
+                }
+            }
             // Guards the rule that all are answered against a core that holds one without a pull.
             Bell::Overdue(dl) => {
                 if self.held.get(&dl).is_some_and(|h| !h.answered) {
@@ -377,7 +408,9 @@
             // The feed runs from the start, asked for or not.
             Order::WatchRoster => {}
             Order::Forget { dl } => {
-                self.held.remove(&self.register.dl_id(dl));
+                if let Some(held) = self.held.remove(&self.register.dl_id(dl)) {
+                    self.ids.remove(&held.wish.id);
+                }
                 self.register.forget_dl(dl);
             }
         }
@@ -385,8 +418,8 @@
 
     fn pull(&mut self, order: Pull, now: Moment, outward: &mut dyn Outward) {
         let dl = self.register.dl_id(order.dl);
-        let (node, contact) = self.contacts.of(&self.register, order.node);
-        let source = order.source.map(|source| self.contacts.of(&self.register, source));
+        let Some((node, contact)) = self.contacts.of(&self.register, order.node) else { return };
+        let source = order.source.and_then(|source| self.contacts.of(&self.register, source));
         let Some(held) = self.held.get_mut(&dl) else { return };
         self.last_pull += 1;
         let (pull, number) = (self.last_pull, held.pulls.len() as u8);
--- a/crates/router/src/routing/nodes.rs
+++ b/crates/router/src/routing/nodes.rs
@@ -3,8 +3,9 @@
 use crate::protocol::feed::{Member, MemberState};
 use harestage::door::Register;
 use harestage::state::{Listing, NodeIx, Phase, Role};
+use harestage::time::{Moment, Span};
 use harestage_profile::{Kinds, Outside};
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddr;
 
@@ -17,12 +18,15 @@
     pub address: Option<SocketAddr>,
     pub phase: Phase,
     since_ms: u64,
+    /// Since when it has been gone.
+    gone: Moment,
 }
 
 #[derive(Default)]
 pub struct Contacts {
-    known: Vec<Contact>,
+    known: BTreeMap<NodeNo, Contact>,
     by_name: HashMap<String, NodeNo>,
+    named: NodeNo,
 }
 
 /// What a line of the list changed.
@@ -35,7 +39,7 @@
 
 impl Contacts {
     pub fn get(&self, node: NodeNo) -> Option<&Contact> {
-        self.known.get(node as usize)
+        self.known.get(&node)
     }
 
     pub fn enter(
@@ -44,6 +48,7 @@
         register: &mut Register,
         kinds: Kinds,
         outside: &Outside,
+        now: Moment,
     ) -> Relisted {
         let phase = match member.state {
             MemberState::Ready => Phase::Ready,
@@ -53,10 +58,14 @@
         let told: Option<SocketAddr> = member.address.parse().ok();
         let node = *self.by_name.entry(member.name.clone()).or_insert_with(|| {
             let (name, address, since_ms) = (member.name.clone(), told, member.since_ms);
-            self.known.push(Contact { name, address, phase, since_ms });
-            self.known.len() as NodeNo - 1
+            self.known.insert(self.named, Contact { name, address, phase, since_ms, gone: now });
+            self.named += 1;
+            self.named - 1
         });
-        let contact = &mut self.known[node as usize];
+        let contact = self.known.get_mut(&node).expect("known by its name");
+        if phase == Phase::Gone && contact.phase != Phase::Gone {
+            contact.gone = now;
+        }
         let replaced = phase == Phase::Ready
             && (contact.phase == Phase::Gone
                 || contact.since_ms != member.since_ms
@@ -83,20 +92,32 @@
     }
 
     /// Those that a whole list does not name are gone.
-    pub fn left_out(&mut self, members: &[Member]) -> Vec<NodeNo> {
+    pub fn left_out(&mut self, members: &[Member], now: Moment) -> Vec<NodeNo> {
+        let named: HashSet<&str> = members.iter().map(|m| m.name.as_str()).collect();
         let mut left_out = Vec::new();
-        for (node, contact) in self.known.iter_mut().enumerate() {
-            if !members.iter().any(|m| m.name == contact.name) {
-                contact.phase = Phase::Gone;
-                left_out.push(node as NodeNo);
+        for (node, contact) in self.known.iter_mut().filter(|(_, c)| !named.contains(c.name.as_str())) {
+            if contact.phase != Phase::Gone {
+                (contact.phase, contact.gone) = (Phase::Gone, now);
             }
+            left_out.push(*node);
         }
         left_out
     }
 
-    pub fn of(&self, register: &Register, node: NodeIx) -> (NodeNo, &Contact) {
+    /// Guards the memory of a long day, on which new names come all the time, against those that are gone.
+    /// False: it is not gone, or not for as long.
+    pub fn forget(&mut self, node: NodeNo, after: Span, now: Moment, register: &mut Register) -> bool {
+        let long_gone = |c: &&Contact| c.phase == Phase::Gone && now.since(c.gone) >= after;
+        let Some(contact) = self.known.get(&node).filter(long_gone) else { return false };
+        self.by_name.remove(&contact.name);
+        self.known.remove(&node);
+        register.forget_node(node);
+        true
+    }
+
+    pub fn of(&self, register: &Register, node: NodeIx) -> Option<(NodeNo, &Contact)> {
         let no = register.node_id(node);
-        (no, &self.known[no as usize])
+        self.known.get(&no).map(|contact| (no, contact))
     }
 }
 
--- a/crates/router/src/transport/mod.rs
+++ b/crates/router/src/transport/mod.rs
@@ -87,4 +87,7 @@
     fn renew(&mut self, node: NodeNo) {
         self.nodes.renew(node);
     }
+    fn forget(&mut self, node: NodeNo) {
+        self.nodes.forget(node);
+    }
 }
--- a/crates/router/src/transport/node.rs
+++ b/crates/router/src/transport/node.rs
@@ -1,5 +1,5 @@
-//! Connections to caches, parents and the origin: one for each node that carries many pulls, a further one
-//! where that is full, was replaced, or has fallen silent.
+//! Connections to caches, parents and the origin. Each carries a few pulls at once, so that one spoilt answer
+//! takes few others with it; a further one is opened where those are busy, were replaced, or get nowhere.
 use super::{Executor, Source, Stream, write_packets};
 use crate::program::limits::Limits;
 use crate::protocol::resp::{Bounds, Decoder};
@@ -15,7 +15,7 @@
 use std::collections::{HashMap, VecDeque};
 use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 struct Queued {
     /// None: this is a cancel.
@@ -29,15 +29,18 @@
     /// Pulls that were written whole and wait for their answer, and when that was.
     written: RefCell<HashMap<Hex, (PullNo, Instant)>>,
     /// The pull being written, which may still be given up as one that never came whole.
-    writing: Cell<Option<PullNo>>,
+    writing: Cell<Option<(PullNo, Hex)>>,
     /// Given up here: a late answer must not pass for that of a new pull of the same download.
     spent: RefCell<VecDeque<Hex>>,
     retired: Cell<bool>,
     ended: Cell<bool>,
-    /// When something last came in.
-    heard: Cell<Instant>,
+    /// When a whole answer last came in. Bytes alone prove nothing: a wrong length swallows what follows it.
+    brought: Cell<Instant>,
+    /// Since when an answer stands half read without another byte.
+    halted: Cell<Option<Instant>>,
     busy: Cell<Instant>,
     wake: Event,
+    look: Event,
 }
 
 impl Wire {
@@ -46,8 +49,32 @@
         queued + self.written.borrow().len() + usize::from(self.writing.get().is_some())
     }
 
+    /// Two pulls of one id on one connection could not be told apart, nor a new one from one given up.
+    fn knows(&self, id: Hex) -> bool {
+        self.written.borrow().contains_key(&id)
+            || self.writing.get().is_some_and(|(_, writing)| writing == id)
+            || self.queue.borrow().iter().any(|q| q.pull.is_some_and(|(_, queued)| queued == id))
+            || self.spent.borrow().contains(&id)
+    }
+
     fn takes(&self, id: Hex, most: usize) -> bool {
-        !self.retired.get() && !self.ended.get() && self.load() < most && !self.spent.borrow().contains(&id)
+        !self.retired.get() && !self.ended.get() && self.load() < most && !self.knows(id)
+    }
+
+    /// A pull waits, and no whole answer has come for as long. What is slow is not lost, but what comes next
+    /// had better not wait behind it: a connection that brought a spoilt answer may stay open and silent.
+    fn is_doubtful(&self, silence: Duration) -> bool {
+        let first = self.written.borrow().values().map(|(_, at)| *at).min();
+        first.is_some_and(|at| at.max(self.brought.get()).elapsed() > silence)
+    }
+
+    fn is_idle(&self) -> bool {
+        self.load() == 0 && self.queue.borrow().is_empty()
+    }
+
+    fn retire(&self) {
+        self.retired.set(true);
+        self.look.notify(usize::MAX);
     }
 
     fn take_back(&self, pull: PullNo) -> bool {
@@ -88,46 +115,62 @@
 
     pub fn pull(&mut self, node: NodeNo, contact: &Contact, pull: PullNo, id: Hex, packet: Packet) -> bool {
         let Some(address) = contact.address else { return false };
-        let limits = &self.common.limits;
+        let limits = self.common.limits.clone();
         let wires = self.wires.entry(node).or_default();
         wires.retain(|wire| !wire.ended.get());
-        let wire = match wires.iter().find(|wire| wire.takes(id, limits.node_pulls)) {
-            Some(wire) => wire.clone(),
-            None if self.common.wires.get() >= limits.node_connections => {
+        let usable = wires.iter().filter(|wire| wire.takes(id, limits.node_pulls));
+        let best = usable.min_by_key(|wire| (wire.is_doubtful(limits.node_silence), wire.load())).cloned();
+        let good = |wire: &Rc<Wire>| wire.load() < limits.node_few && !wire.is_doubtful(limits.node_silence);
+        let own = wires.iter().filter(|wire| !wire.retired.get()).count();
+        let wire = match best {
+            Some(wire) if good(&wire) => wire,
+            Some(wire) if own >= limits.node_own_connections => wire,
+            _ if self.has_room() => self.open(node, address, contact.name.clone()),
+            Some(wire) => wire,
+            None => {
                 warn!(self.common.log, "no connection free"; "node" => &contact.name);
                 return false;
             }
-            None => {
-                let now = Instant::now();
-                let wire = Rc::new(Wire {
-                    queue: RefCell::default(),
-                    written: RefCell::default(),
-                    writing: Cell::new(None),
-                    spent: RefCell::default(),
-                    retired: Cell::new(false),
-                    ended: Cell::new(false),
-                    heard: Cell::new(now),
-                    busy: Cell::new(now),
-                    wake: Event::new(),
-                });
-                wires.push(wire.clone());
-                let run = run(
-                    self.common.clone(),
-                    self.executor.clone(),
-                    wire.clone(),
-                    address,
-                    contact.name.clone(),
-                );
-                self.common.wires.set(self.common.wires.get() + 1);
-                self.executor.spawn(run).detach();
-                wire
-            }
         };
         wire.queue.borrow_mut().push_back(Queued { pull: Some((pull, id)), packet });
         wire.wake.notify(usize::MAX);
         true
     }
 
+    fn open(&mut self, node: NodeNo, address: SocketAddr, name: String) -> Rc<Wire> {
+        let now = Instant::now();
+        let wire = Rc::new(Wire {
+            queue: RefCell::default(),
+            written: RefCell::default(),
+            writing: Cell::new(None),
+            spent: RefCell::default(),
+            retired: Cell::new(false),
+            ended: Cell::new(false),
+            brought: Cell::new(now),
+            halted: Cell::new(None),
+            busy: Cell::new(now),
+            wake: Event::new(),
+            look: Event::new(),
+        });
+        self.wires.entry(node).or_default().push(wire.clone());
+        self.common.wires.set(self.common.wires.get() + 1);
+        let run = run(self.common.clone(), self.executor.clone(), wire.clone(), address, name);
+        self.executor.spawn(run).detach();
+        wire
+    }
+
+    /// Whether one more connection may be held. At the bound the one that has been idle for longest goes.
+    fn has_room(&self) -> bool {
+        if self.common.wires.get() < self.common.limits.node_connections {
+            return true;
+        }
+        let all = self.wires.values().flatten();
+        let idle = all.filter(|wire| wire.is_idle() && !wire.retired.get() && !wire.ended.get());
+        let Some(wire) = idle.min_by_key(|wire| wire.busy.get()) else { return false };
+        wire.retire();
+        true
+    }
+
     pub fn cancel(&mut self, node: NodeNo, pull: PullNo) -> bool {
         for wire in self.wires.get(&node).into_iter().flatten() {
             if wire.take_back(pull) {
@@ -138,16 +181,17 @@
             if let Some((id, at)) = id {
                 wire.written.borrow_mut().remove(&id);
                 wire.spend(id, self.common.limits.node_spent_ids);
-                // Nothing came in since this was written: the machine may have vanished. What comes next goes
-                // over a fresh connection, which then comes up or proves that nothing ran.
-                if wire.heard.get() < at && at.elapsed() > self.common.limits.node_silence {
-                    wire.retired.set(true);
+                // No answer came since this was written: the machine may have vanished, or what came before has
+                // spoilt the connection. What comes next goes over a fresh one, which then comes up or proves
+                // that nothing ran.
+                if wire.brought.get() < at && at.elapsed() > self.common.limits.node_silence {
+                    wire.retire();
                 }
                 wire.queue.borrow_mut().push_back(Queued { pull: None, packet: node::write_cancel(id) });
                 wire.wake.notify(usize::MAX);
                 return false;
             }
-            if wire.writing.get() == Some(pull) {
+            if wire.writing.get().is_some_and(|(no, _)| no == pull) {
                 wire.writing.set(None);
                 return false;
             }
@@ -159,10 +203,14 @@
         self.wires.get(&node).into_iter().flatten().any(|wire| wire.take_back(pull))
     }
 
+    /// Its connections end by themselves once their pulls are over.
+    pub fn forget(&mut self, node: NodeNo) {
+        self.wires.remove(&node);
+    }
+
     pub fn renew(&mut self, node: NodeNo) {
         for wire in self.wires.get(&node).into_iter().flatten() {
-            wire.retired.set(true);
-            wire.wake.notify(usize::MAX);
+            wire.retire();
         }
     }
 }
@@ -177,7 +225,7 @@
     match or(connect, late).await {
         Ok(stream) => {
             let _ = stream.get_ref().set_nodelay(true);
-            wire.heard.set(Instant::now());
+            wire.brought.set(Instant::now());
             let stream = Rc::new(stream);
             // A task of its own: what wakes one side must not make the other try its socket for nothing.
             let writer = executor.spawn(write(wire.clone(), stream.clone(), common.limits.node_spent_ids));
@@ -190,7 +238,7 @@
     common.wires.set(common.wires.get() - 1);
     let written: Vec<_> =
         wire.written.borrow_mut().drain().map(|(_, (pull, _))| (pull, Loss::Broken)).collect();
-    let half = wire.writing.take().map(|pull| (pull, Loss::NeverLeft));
+    let half = wire.writing.take().map(|(pull, _)| (pull, Loss::NeverLeft));
     let queued: Vec<_> = wire.queue.borrow_mut().drain(..).filter_map(|q| q.pull).collect();
     let queued = queued.into_iter().map(|(pull, _)| (pull, Loss::NeverLeft));
     let mut lost: Vec<_> = written.into_iter().chain(half).chain(queued).collect();
@@ -216,18 +264,21 @@
                     return "unreadable answer".into();
                 };
                 let known = wire.written.borrow_mut().remove(&answer.id);
-                wire.busy.set(Instant::now());
+                wire.brought.set(Instant::now());
+                wire.busy.set(wire.brought.get());
                 if let Some((pull, _)) = known {
                     let _ = common.inbox.send(News::Answered { pull, answer }).await;
                 }
             }
             Ok(None) => {
-                match source.read_into(&mut decoder).await {
+                wire.halted.set(decoder.is_inside().then(Instant::now));
+                let read = source.read_into(&mut decoder).await;
+                wire.halted.set(None);
+                match read {
                     Ok(0) => return "closed by the node".into(),
                     Ok(_) => {}
                     Err(why) => return why.to_string(),
                 }
-                wire.heard.set(Instant::now());
             }
             Err(fault) => {
                 warn!(common.log, "node connection ended: unreadable"; "node" => name, "why" => %fault);
@@ -247,14 +298,14 @@
             }
             continue;
         };
-        wire.writing.set(pull.map(|(no, _)| no));
+        wire.writing.set(pull);
         let wrote = write_packets(&stream, &[packet], |_| {}).await;
         wire.busy.set(Instant::now());
         if let Err(why) = wrote {
             return why.to_string();
         }
         if let Some((no, id)) = pull {
-            if wire.writing.take() == Some(no) {
+            if wire.writing.take() == Some((no, id)) {
                 wire.written.borrow_mut().insert(id, (no, Instant::now()));
             } else {
                 // Given up while it was being written: it is whole now, so it has to be called back.
@@ -266,13 +317,21 @@
 }
 
 /// Closes what nobody needs any more: a connection that was replaced once its pulls are over, and one that
-/// has been idle, before the node closes it on a pull that is just being written.
+/// has been idle, before the node closes it on a pull that is just being written. Ends one on which an answer
+/// stopped half way: what else is open there gets no answer either.
 async fn watch(common: &Common, wire: &Wire) -> String {
+    let limits = &common.limits;
     loop {
-        Timer::after(common.limits.watch_every).await;
-        let over = wire.load() == 0 && wire.queue.borrow().is_empty();
-        if over && (wire.retired.get() || wire.busy.get().elapsed() > common.limits.node_idle) {
+        let look = wire.look.listen();
+        if wire.is_idle() && (wire.retired.get() || wire.busy.get().elapsed() > limits.node_idle) {
             return "idle".into();
         }
+        if wire.halted.get().is_some_and(|since| since.elapsed() > limits.node_halt) {
+            return "an answer stopped half way".into();
+        }
+        let later = async {
+            Timer::after(limits.watch_every).await;
+        };
+        or(look, later).await;
     }
 }
--- a/crates/router/tests/codec.rs
+++ b/crates/router/tests/codec.rs
@@ -116,8 +116,28 @@
     {
         assert!(matches!(client::read(ask(unusable, b"")), Ok(FromClient::Unusable { tag: 7, .. })));
     }
-    let negative = "i=9b1f03aa5c7e2d41,d=-5,o=7f3a9c21e0b4d655";
-    assert!(matches!(client::read(ask(negative, b"")), Ok(FromClient::Unusable { .. })));
+    // A cache closes on fields that it can't read, with all that others have open on that connection.
+    let good = "i=9b1f03aa5c7e2d41,d=1500,o=7f3a9c21e0b4d655";
+    assert!(matches!(client::read(ask(good, b"")), Ok(FromClient::Wish { .. })));
+    for wrong in
+        ["d=-5", "d=0", "d=+5", "d=05", "d=99999999999", "d=1e3", "tag=256", "tag=-1", "chunk=4294967296"]
+            .into_iter()
+            .chain([
+                "chunk=",
+                "chunk=01",
+                "chunk=+1",
+                "r=2",
+                "known=a b",
+                "known=\"a\"",
+                "known=a\r\nb",
+                "known=é",
+            ])
+    {
+        let read = client::read(ask(&format!("{good},{wrong}"), b""));
+        assert!(matches!(read, Ok(FromClient::Unusable { tag: 7, .. })), "{wrong}: {read:?}");
+    }
+    let long = [ask(good, b""), vec![Bytes::from("more")]].concat();
+    assert!(matches!(client::read(long), Ok(FromClient::Unusable { .. })));
     let short = ask("", b"")[..2].to_vec();
     assert!(matches!(client::read(short), Ok(FromClient::Unusable { .. })));
     let other = vec![Bytes::from("STATUS"), Bytes::from("8"), Bytes::new()];
@@ -190,6 +210,9 @@
     assert_eq!(words, [Word::StillGood, Word::Lacks, Word::Full, Word::Failed, Word::TooLate]);
     assert_eq!(answer("EIO", "res=UP_DOWN,first=NaN").unwrap().remark, Remark::SourceLost);
     assert!(answer("WHAT", "-").is_none() && node::read(&[]).is_none());
+    // Without its body an answer was cut short; it must not pass for that of an empty object.
+    let short = ["9b1f03aa5c7e2d41", "ACK", "res=HIT"].map(|i| Bytes::copy_from_slice(i.as_bytes()));
+    assert!((1..=3).all(|items| node::read(&short[..items]).is_none()));
 }
 
 #[test]
--- a/crates/router/tests/links.rs
+++ b/crates/router/tests/links.rs
@@ -3,22 +3,23 @@
 use async_io::{Timer, block_on};
 use bytes::Bytes;
 use harestage::door::Register;
-use harestage::time::Span;
+use harestage::time::{Moment, Span};
 use harestage_profile::{Kinds, Outside};
 use harestage_router::program::limits::Limits;
 use harestage_router::protocol::feed::{Member, MemberState};
 use harestage_router::protocol::{Packet, fields::Hex, resp::head};
-use harestage_router::routing::nodes::Contacts;
+use harestage_router::routing::nodes::{Contact, Contacts};
 use harestage_router::routing::{Loss, News};
 use harestage_router::transport::node::Links;
 use slog::{Discard, Logger, o};
-use std::io::Read;
+use std::io::{Read, Write};
 use std::net::{TcpListener, TcpStream};
 use std::rc::Rc;
 use std::time::Duration;
 
 /// More than the machine takes for a peer that does not read.
 const HUGE: usize = 64 << 20;
+const SHORT: Duration = Duration::from_millis(150);
 
 fn packet(body: usize) -> Packet {
     Packet { head: head(&[b"serve"], body), body: Bytes::from(vec![0; body]) }
@@ -30,6 +31,19 @@
 
 /// Sends pulls of these sizes, numbered from 1, to a node that accepts and reads nothing; then `look` has its say.
 fn play(sizes: &[usize], look: impl AsyncFnOnce(&mut Links, TcpStream)) -> Vec<(u64, Loss)> {
+    play_on(usize::MAX, async |links, contact, listener| {
+        for (pull, size) in (1..).zip(sizes) {
+            assert!(links.pull(0, contact, pull, id(pull), packet(*size)));
+        }
+        // Connecting goes on only while this waits.
+        Timer::after(SHORT).await;
+        let (stream, _) = listener.accept().unwrap();
+        look(links, stream).await;
+    })
+}
+
+/// Plays against one node whose connections carry a few pulls each; gives the pulls that were lost.
+fn play_on(few: usize, script: impl AsyncFnOnce(&mut Links, &Contact, &TcpListener)) -> Vec<(u64, Loss)> {
     let outside = Outside {
         contents: vec![],
         zones: vec![],
@@ -44,20 +58,15 @@
     let (address, state) = (listener.local_addr().unwrap().to_string(), MemberState::Ready);
     let member = Member { name, address, zone, kind, cell: 0, state, scale: 1.0, since_ms: 0 };
     let mut contacts = Contacts::default();
-    contacts.enter(&member, &mut Register::default(), Kinds { parent: None, origin: None }, &outside);
+    let (kinds, now) = (Kinds { parent: None, origin: None }, Moment::at_micros(1));
+    contacts.enter(&member, &mut Register::default(), kinds, &outside, now);
     let executor = Rc::new(LocalExecutor::new());
     let (inbox, news) = async_channel::bounded(64);
-    let limits = Rc::new(Limits::new(192, 1_024, &outside));
+    let limits = Rc::new(Limits { node_few: few, ..Limits::new(192, 1_024, &outside) });
     let mut links = Links::new(limits, inbox, Logger::root(Discard, o!()), executor.clone());
     block_on(executor.run(async {
-        for (pull, size) in (1..).zip(sizes) {
-            assert!(links.pull(0, contacts.get(0).unwrap(), pull, id(pull), packet(*size)));
-        }
-        // Connecting goes on only while this waits.
-        Timer::after(Duration::from_millis(150)).await;
-        let (stream, _) = listener.accept().unwrap();
-        look(&mut links, stream).await;
-        Timer::after(Duration::from_millis(150)).await;
+        script(&mut links, contacts.get(0).unwrap(), &listener).await;
+        Timer::after(SHORT).await;
     }));
     let lost = std::iter::from_fn(|| news.try_recv().ok()).map(|news| match news {
         News::Lost { pull, loss } => (pull, loss),
@@ -105,3 +114,57 @@
         assert!(read.len() > HUGE && read.ends_with(cancel.as_bytes()));
     });
 }
+
+/// Guards the pulls beside a spoilt answer: it ends its connection with all that is open there.
+#[test]
+fn a_connection_carries_a_few_pulls_and_takes_only_those_with_it() {
+    let mut nodes = Vec::new();
+    let lost = play_on(3, async |links, contact, listener| {
+        (1..=7).for_each(|pull| assert!(links.pull(0, contact, pull, id(pull), packet(10))));
+        Timer::after(SHORT).await;
+        nodes.extend((0..3).map(|_| listener.accept().unwrap().0));
+        (&nodes[0]).write_all(b"noise\r\n").unwrap();
+        Timer::after(SHORT).await;
+    });
+    assert_eq!(lost.len(), 3);
+    assert!(lost.iter().all(|(_, loss)| *loss == Loss::Broken));
+}
+
+#[test]
+fn one_id_is_never_open_twice_on_a_connection() {
+    let mut nodes = Vec::new();
+    let lost = play_on(3, async |links, contact, listener| {
+        (1..=2).for_each(|pull| assert!(links.pull(0, contact, pull, id(7), packet(10))));
+        Timer::after(SHORT).await;
+        assert!(links.pull(0, contact, 3, id(7), packet(10)), "the two are written now");
+        Timer::after(SHORT).await;
+        listener.set_nonblocking(true).unwrap();
+        nodes.extend((0..4).map_while(|_| listener.accept().ok()));
+    });
+    assert_eq!((nodes.len(), lost), (3, vec![]));
+}
+
+/// Guards against a wrong length, which swallows the answers after it, and against what stops half way: bytes may
+/// keep coming, but no answer does.
+#[test]
+fn a_connection_that_gets_nowhere_takes_no_further_pulls_and_ends_where_an_answer_stopped() {
+    let head = format!("*4\r\n$16\r\n{}\r\n$3\r\nACK\r\n$1\r\n-\r\n$9000\r\n", id(1).as_str());
+    let mut nodes = Vec::new();
+    let lost = play_on(3, async |links, contact, listener| {
+        assert!(links.pull(0, contact, 1, id(1), packet(10)));
+        Timer::after(SHORT).await;
+        nodes.push(listener.accept().unwrap().0);
+        let mut node = &nodes[0];
+        node.write_all(head.as_bytes()).unwrap();
+        for _ in 0..3 {
+            node.write_all(b"bytes").unwrap();
+            Timer::after(SHORT).await;
+        }
+        listener.set_nonblocking(true).unwrap();
+        assert!(links.pull(0, contact, 2, id(2), packet(10)));
+        Timer::after(SHORT).await;
+        nodes.push(listener.accept().expect("the second goes over another").0);
+        Timer::after(Duration::from_millis(1_200)).await;
+    });
+    assert_eq!(lost, [(1, Loss::Broken)]);
+}
--- a/crates/router/tests/routing.rs
+++ b/crates/router/tests/routing.rs
@@ -28,6 +28,7 @@
     cancels: Vec<PullNo>,
     stuck: bool,
     renewed: Vec<NodeNo>,
+    forgotten: Vec<NodeNo>,
 }
 
 impl Outward for Paper {
@@ -48,6 +49,9 @@
     fn renew(&mut self, node: NodeNo) {
         self.renewed.push(node);
     }
+    fn forget(&mut self, node: NodeNo) {
+        self.forgotten.push(node);
+    }
 }
 
 fn outside() -> Outside {
@@ -103,8 +107,8 @@
 
 impl Bed {
     fn open() -> Bed {
-        let (outside, answer_grace) = (outside(), Span::millis(20));
-        let terms = Terms { profile: profile(), kinds: KINDS, outside, answer_grace };
+        let (outside, answer_grace, gone_kept) = (outside(), Span::millis(20), Span::millis(10_000));
+        let terms = Terms { profile: profile(), kinds: KINDS, outside, answer_grace, gone_kept };
         let routing = Routing::open(terms, 11, START);
         let mut bed = Bed { routing, paper: Paper::default(), now: START };
         bed.hear(vec![News::Told(all_ready())]);
@@ -138,7 +142,7 @@
     let (mut register, mut contacts) = (Register::default(), Contacts::default());
     let mut brain = Brain::open(profile(), 11, START);
     let Told::Members { members, .. } = all_ready() else { unreachable!() };
-    let enter = |m| contacts.enter(m, &mut register, KINDS, &outside()).listing;
+    let enter = |m| contacts.enter(m, &mut register, KINDS, &outside(), START).listing;
     let listings = members.iter().map(enter).collect();
     let mut bells = Vec::new();
     let mut direct: Vec<(u32, u32)> = Vec::new();
@@ -302,7 +306,59 @@
     bed.hear(vec![relist(MemberState::Ready, 0), relist(MemberState::Draining, 0)]);
     assert!(bed.paper.renewed.is_empty(), "a drain leaves pulls running");
     bed.hear(vec![relist(MemberState::Gone, 0), relist(MemberState::Ready, 1_764_576_000_000)]);
-    assert_eq!(bed.paper.renewed, [1]);
+    assert_eq!(bed.paper.renewed, [1, 1], "once gone, and once it is there again");
+}
+
+/// Guards memory on a day on which caches are replaced under new names all the time. What was known of one that
+/// is gone must not pass for the next one's.
+#[test]
+fn names_that_are_gone_for_long_are_forgotten() {
+    let mut bed = Bed::open();
+    for day in 0..40u32 {
+        let (old, new) = (100 + day, 101 + day);
+        let at_ms = bed.now.micros() / 1_000;
+        let members = vec![member(old, MemberState::Gone, 1), member(new, MemberState::Ready, at_ms)];
+        bed.hear(vec![News::Told(Told::Members { whole: false, members })]);
+        bed.wait(2_000);
+        let pull = bed.ask(u64::from(day) + 1, "page", 1_000);
+        assert!(!bed.paper.forgotten.contains(&bed.paper.pulls.last().unwrap().0));
+        bed.hear(vec![News::Answered { pull, answer: answer(Word::Good, Remark::Hit) }]);
+    }
+    assert!(bed.paper.forgotten.len() >= 34, "{:?}", bed.paper.forgotten);
+    let (first, last) = (bed.paper.forgotten[0], *bed.paper.forgotten.last().unwrap());
+    assert_eq!(last - first + 1, bed.paper.forgotten.len() as u32, "one after the other, and none twice");
+    let mut register = Register::default();
+    let mut contacts = Contacts::default();
+    for day in 0..40u32 {
+        let gone = |state| member(100 + day, state, 1);
+        let now = START + Span::millis(u64::from(day) * 1_000);
+        for state in [MemberState::Ready, MemberState::Gone] {
+            let no = contacts.enter(&gone(state), &mut register, KINDS, &outside(), now);
+            assert!(no.listing.node.0 < 3, "indices are used again: {:?}", no.listing.node);
+        }
+        if let Some(old) = day.checked_sub(2) {
+            assert!(!contacts.forget(old, Span::millis(2_001), now, &mut register), "too soon");
+            assert!(contacts.forget(old, Span::millis(2_000), now, &mut register));
+            assert!(!contacts.forget(old, Span::ZERO, now, &mut register), "twice");
+        }
+    }
+}
+
+/// Guards against answers that pass for those of another download, and bytes that pass for another object's.
+#[test]
+fn the_id_of_an_open_download_is_taken() {
+    let mut bed = Bed::open();
+    bed.ask(1, "page", 2_000);
+    let stolen = Wish { object: Hex::read(b"00000000000000ff").unwrap(), ..wish("page", 1_000, 2_000) };
+    let asked = |tag, client| News::Asked { client, tag, wish: stolen.clone(), at: START };
+    bed.hear(vec![asked(2, 1), asked(3, 2)]);
+    assert_eq!((bed.answered(2), bed.answered(3)), (vec![&ToClient::Abandoned], vec![&ToClient::Abandoned]));
+    assert_eq!(bed.paper.pulls.len(), 1);
+    let pull = bed.paper.pulls[0].1;
+    bed.hear(vec![News::Answered { pull, answer: answer(Word::Good, Remark::Hit) }]);
+    assert_eq!(bed.answered(1).len(), 1);
+    bed.hear(vec![asked(4, 1)]);
+    assert_eq!(bed.paper.pulls.len(), 2, "free again once that is answered");
 }
 
 #[test]
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -617,11 +617,11 @@
         } else if held.pulls_out() {
             return;
         }
+        let home = end.ending == Ending::Broken && end.pull == 0; // it has its copy yet, or refuses at once
         if end.remark.is_behind() {
             // Another parent may do better than one that failed, but not than the origin behind them all.
             held.fill_failures += if end.remark == Remark::OriginFailed { FILL_FAILURES } else { 1 };
-        } else if verdict != Verdict::Good && end.ending != Ending::Broken || end.remark == Remark::NoPlace {
-            // After a break the home still has its copy, or refuses the next connection at once.
+        } else if verdict != Verdict::Good && !home || end.remark == Remark::NoPlace {
             held.failed.push(was.node);
         }
         let write = self.trades[held.what.content.0 as usize].content.write;
--- a/src/door.rs
+++ b/src/door.rs
@@ -4,7 +4,7 @@
 //! It keeps a `Register`, which turns the front's own ids into small indices and back.
 use crate::state::*;
 use crate::time::Span;
-use std::collections::{HashMap, HashSet};
+use std::collections::{HashMap, HashSet, VecDeque};
 
 /// What a router is told of its service when it starts.
 #[derive(Clone, Debug)]
@@ -162,6 +162,7 @@
 pub struct Register {
     node_ids: Vec<u32>,
     nodes: HashMap<u32, NodeIx>,
+    free_nodes: VecDeque<NodeIx>,
     dl_ids: Vec<u64>,
     dls: HashMap<u64, DlIx>,
     free: Vec<DlIx>,
@@ -169,10 +170,21 @@
 
 impl Register {
     pub fn enter_node(&mut self, id: u32) -> NodeIx {
-        *self.nodes.entry(id).or_insert_with(|| {
-            self.node_ids.push(id);
-            NodeIx(self.node_ids.len() as u32 - 1)
-        })
+        let (node_ids, free) = (&mut self.node_ids, &mut self.free_nodes);
+        let node = *self.nodes.entry(id).or_insert_with(|| {
+            free.pop_front().unwrap_or_else(|| {
+                node_ids.push(id);
+                NodeIx(node_ids.len() as u32 - 1)
+            })
+        });
+        node_ids[node.0 as usize] = id;
+        node
+    }
+
+    /// Its index may stand for another node from now on. To be called only for one that is gone, long after the
+    /// last download that it had a part in: otherwise what is remembered of it would pass for the other's.
+    pub fn forget_node(&mut self, id: u32) {
+        self.free_nodes.extend(self.nodes.remove(&id));
     }
 
     pub fn node(&self, id: u32) -> Option<NodeIx> {
--- a/tests/troubles.rs
+++ b/tests/troubles.rs
@@ -56,6 +56,12 @@
         lost.iter().for_each(|out| front.end(*out, Ending::Broken, Remark::Nothing));
         let again = lost.iter().filter(|out| front.last_pull(out.dl).pull.node == node).count();
         assert_eq!(again > 0, broken < 3, "{again} after {broken} breaks");
+        // Once: against a cache that breaks whatever it is sent, another one helps.
+        for out in front.out().into_iter().filter(|out| out.number == 1 && out.pull.node == node) {
+            front.end(out, Ending::Broken, Remark::Nothing);
+            let last = front.last_pull(out.dl);
+            assert!(last.number == 1 || last.pull.node != node);
+        }
         for out in front.out() {
             front.end(out, Ending::Cancelled, Remark::Nothing);
         }
