Items get room as they come, and clients that send much stop only themselves

Changed: an item has 2 kB (client) or 64 kB (node) of room at first and twice what has come after that; past the bound on all, a client that holds no more than an equal part is read on, which bounds the whole at twice. Tests: a_claim_takes_no_room, clients_that_send_much_stop_only_themselves.

--- a/crates/router/src/program/limits.rs
+++ b/crates/router/src/program/limits.rs
@@ -16,7 +16,8 @@
     /// Connections to nodes; past it one that is idle goes, and without one a pull that needs a new one is not
     /// sent.
     pub node_connections: usize,
-    /// Downloads that are not answered yet, and the bytes that they hold; past it no client is read.
+    /// Downloads that are not answered yet, and the bytes that they hold; past these only clients are read that
+    /// hold no more than an equal part.
     pub downloads: usize,
     pub held_bytes: usize,
     /// What one client's downloads may hold; past it that client is not read.
@@ -27,6 +28,9 @@
     pub client_open: usize,
     pub client_items: usize,
     pub client_item_bytes: usize,
+    /// Room that an item from a client, or from a node, gets before any of it has come.
+    pub client_item_room: usize,
+    pub node_item_room: usize,
     /// Answers waiting on one connection; past it that client is not read.
     pub client_unsent_bytes: usize,
     /// Answers that are written with one call to the system.
@@ -101,6 +105,8 @@
             client_open: OPEN_ON_A_CONNECTION,
             client_items: 8,
             client_item_bytes: WRITE_BODY,
+            client_item_room: 2 << 10,
+            node_item_room: 64 << 10,
             client_unsent_bytes: 4 * BODY,
             packets_at_once: 32,
             unsent_bytes: (memory / 4).max(2 * BODY),
--- a/crates/router/src/protocol/resp.rs
+++ b/crates/router/src/protocol/resp.rs
@@ -36,6 +36,9 @@
 pub struct Bounds {
     pub items: usize,
     pub item_bytes: usize,
+    /// An item gets room for as much at once; a longer one gets more only as it comes, so that a claim costs
+    /// nothing.
+    pub item_room: usize,
 }
 
 enum Stage {
@@ -54,21 +57,25 @@
     stage: Stage,
     left: usize,
     items: Vec<Bytes>,
-    /// The item being read, at its full length, and how much of it is there.
+    /// The item being read with the room that it has so far, its full length, and how much of it is there.
     item: Vec<u8>,
+    length: usize,
     got: usize,
 }
 
 impl Decoder {
     pub fn new(bounds: Bounds, buffer: usize) -> Decoder {
         let buffer = vec![0; buffer.max(LONGEST_LINE)];
-        let (items, item) = (Vec::new(), Vec::new());
-        Decoder { bounds, buffer, start: 0, end: 0, stage: Stage::Array, left: 0, items, item, got: 0 }
+        let (items, item, stage) = (Vec::new(), Vec::new(), Stage::Array);
+        Decoder { bounds, buffer, start: 0, end: 0, stage, left: 0, items, item, length: 0, got: 0 }
     }
 
     /// Where the next bytes belong. A long item is read straight to where it stays.
     pub fn room(&mut self) -> &mut [u8] {
         if matches!(self.stage, Stage::Item) && self.start == self.end {
+            if self.got == self.item.len() {
+                self.widen(self.item.len() * 2);
+            }
             return &mut self.item[self.got..];
         }
         self.buffer.copy_within(self.start..self.end, 0);
@@ -111,15 +118,19 @@
                     if length > self.bounds.item_bytes {
                         return Err(Fault::TooLong);
                     }
-                    (self.item, self.got) = (vec![0; length], 0);
+                    (self.item, self.length, self.got) = (Vec::new(), length, 0);
+                    self.widen(self.bounds.item_room);
                     self.stage = Stage::Item;
                 }
                 Stage::Item => {
-                    let more = (self.item.len() - self.got).min(self.end - self.start);
+                    let more = (self.length - self.got).min(self.end - self.start);
+                    if self.got + more > self.item.len() {
+                        self.widen(self.got + more);
+                    }
                     let part = &self.buffer[self.start..self.start + more];
                     self.item[self.got..self.got + more].copy_from_slice(part);
                     (self.start, self.got) = (self.start + more, self.got + more);
-                    if self.got < self.item.len() {
+                    if self.got < self.length {
                         return Ok(None);
                     }
                     self.stage = Stage::ItemEnd;
@@ -144,6 +155,12 @@
         }
     }
 
+    fn widen(&mut self, wanted: usize) {
+        let room = wanted.max(self.bounds.item_room).max(1).min(self.length);
+        self.item.reserve_exact(room.saturating_sub(self.item.len()));
+        self.item.resize(room, 0);
+    }
+
     /// The number on a line that starts with `kind`, once the line is there.
     fn length(&mut self, kind: u8) -> Result<Option<usize>, Fault> {
         let line = &self.buffer[self.start..self.end];
--- a/crates/router/src/transport/client.rs
+++ b/crates/router/src/transport/client.rs
@@ -327,7 +327,8 @@
 
 async fn read(clients: &Clients, no: ClientNo, line: &Line, stream: &Stream) -> String {
     let limits = &clients.limits;
-    let bounds = Bounds { items: limits.client_items, item_bytes: limits.client_item_bytes };
+    let (items, item_bytes) = (limits.client_items, limits.client_item_bytes);
+    let bounds = Bounds { items, item_bytes, item_room: limits.client_item_room };
     let mut decoder = Decoder::new(bounds, limits.read_buffer);
     let mut source = Source::new(stream);
     let mut unusable = 0;
@@ -398,7 +399,12 @@
 /// Backpressure: past a bound nothing more is read from this client.
 async fn wait_for_room(clients: &Clients, line: &Line) {
     let limits = &clients.limits;
-    let full = || clients.open.get() >= limits.downloads || clients.held.get() >= limits.held_bytes;
+    // One that holds no more than its part is read on: a few that send much must not stop all others.
+    let part = limits.held_bytes / limits.clients;
+    let full = || {
+        clients.open.get() >= limits.downloads
+            || clients.held.get() >= limits.held_bytes && line.held.get() > part
+    };
     let behind =
         || line.unsent.get() >= limits.client_unsent_bytes || line.held.get() >= limits.client_held_bytes;
     while full() || behind() {
--- a/crates/router/src/transport/node.rs
+++ b/crates/router/src/transport/node.rs
@@ -253,7 +253,8 @@
 
 async fn read(common: &Common, wire: &Wire, stream: &Stream, name: &str) -> String {
     let limits = &common.limits;
-    let bounds = Bounds { items: limits.node_items, item_bytes: limits.body_bytes };
+    let (items, item_bytes) = (limits.node_items, limits.body_bytes);
+    let bounds = Bounds { items, item_bytes, item_room: limits.node_item_room };
     let mut decoder = Decoder::new(bounds, limits.read_buffer);
     let mut source = Source::new(stream);
     loop {
--- a/crates/router/tests/codec.rs
+++ b/crates/router/tests/codec.rs
@@ -9,7 +9,7 @@
 use harestage_router::protocol::{Packet, resp::LINE_END};
 use quickcheck::{Gen, QuickCheck};
 
-const BOUNDS: Bounds = Bounds { items: 8, item_bytes: 48_000 };
+const BOUNDS: Bounds = Bounds { items: 8, item_bytes: 48_000, item_room: 16 };
 
 fn wire(packet: &Packet) -> Vec<u8> {
     [&packet.head, &packet.body, LINE_END].concat()
@@ -71,6 +71,23 @@
     QuickCheck::new().rng(rng).tests(300).quickcheck(survives as fn(Vec<u8>, Vec<usize>) -> bool);
 }
 
+/// Guards memory against lengths that are only claimed, on as many connections as there may be.
+#[test]
+fn a_claim_takes_no_room() {
+    let mut decoder = Decoder::new(BOUNDS, 64);
+    let claim = b"*1\r\n$48000\r\n";
+    decoder.room()[..claim.len()].copy_from_slice(claim);
+    decoder.filled(claim.len());
+    let mut come = 0;
+    while decoder.take().unwrap().is_none() && come < 48_000 {
+        let room = decoder.room().len();
+        assert!(room <= (2 * come).max(64), "room for {room} after {come} bytes");
+        decoder.filled(room.min(48_000 - come));
+        come += room;
+    }
+    assert_eq!(come, 48_000);
+}
+
 #[test]
 fn what_cannot_be_framed_is_a_fault() {
     let cases: [(&[u8], Fault); 9] = [
--- a/crates/router/tests/sockets.rs
+++ b/crates/router/tests/sockets.rs
@@ -9,7 +9,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-const BOUNDS: Bounds = Bounds { items: 8, item_bytes: 240_000 };
+const BOUNDS: Bounds = Bounds { items: 8, item_bytes: 240_000, item_room: 4_096 };
 const LONG: Duration = Duration::from_secs(10);
 
 type Items = Vec<Bytes>;
@@ -482,6 +482,35 @@
     assert_eq!(waits.next().expect("under way, so it stays")[1], "ACK");
 }
 
+/// Guards the time of usual clients against a few that send as much as they may and wait for it.
+#[test]
+fn clients_that_send_much_stop_only_themselves() {
+    let mut bed = Bed::open(1, None, |_, fields| match fields {
+        f if f.contains("kind=filing") => Reply::Silence,
+        _ => Reply::Say("ACK", "res=HIT", b"good".to_vec()),
+    });
+    let _ = bed.router.kill();
+    let _ = bed.router.wait();
+    bed.config["limits"]["memory_mb"] = json!(16);
+    bed.router = start(&bed.config);
+    bed.is_up();
+    let body = vec![7; 40_000];
+    let busy: Vec<Client> = (0..12).map(|_| bed.client()).collect();
+    for (no, client) in (1..).zip(&busy) {
+        for tag in 1..=7 {
+            let fields = format!("i={:016x},d=3000,o={no:016x},chunk=0,tag=5", no * 100 + tag);
+            client.send(&[b"ASK", tag.to_string().as_bytes(), b"filing", fields.as_bytes(), &body]);
+        }
+    }
+    std::thread::sleep(Duration::from_millis(300));
+    let written = bed.seen.lock().unwrap().iter().filter(|s| s.1[0] == "serve").count();
+    assert!((45..84).contains(&written), "{written}: all together may hold 2 MB");
+    // The core may turn it away, as it sees a cache that answers nothing; but it is read, and answered.
+    let (asked, mut usual) = (Instant::now(), bed.client());
+    (1..=3).for_each(|tag| drop(usual.fetch(tag, "clip", 3, "")));
+    assert!(asked.elapsed() < Duration::from_millis(700), "{:?}", asked.elapsed());
+}
+
 /// Answers wait for clients that do not read them, within bounds, while others are served. Past the bound on all
 /// of them only as many clients go as have to.
 #[test]
