Gates widen quickly until they were first slow, and gently from then on

Cause: after a gate was slow, quick answers for a moment do not mean that there is room; before, they do. Test: gates_open_within_a_second_where_answers_are_quick as before.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -43,7 +43,8 @@
 const ROOM_LEAST: f64 = 3.0; // fewer would show too few answers to widen again
 const ROOM_CUT: f64 = 0.97; // a beat; in proportion to slowness was no better
 const ROOM_STEP: f64 = 0.5; // a beat, or the following part of the room, as far as answers are from slow
-const ROOM_GROWTH: f64 = 0.1; // of the room, a beat, where answers come at once; by steps a start took 3 s
+const ROOM_GROWTH: f64 = 0.04; // of the room, a beat, where answers come at once; 0.1 cost an overload
+const ROOM_RUSH: f64 = 0.12; // the same until a gate was first slow; by steps a start took 3 s of refusals
 const PACE_MOST: f64 = 4.0; // times slower, where each of many routers sees few answers; more is too late
 const MEAN_WEIGHT: f64 = 0.5; // a beat, over the routers; 0.2 cost adire-branch-net-later 0.02
 const IN_USE: f64 = 0.7; // of the room; a gate that is not in use learns nothing from quick answers
@@ -226,7 +227,7 @@
 impl Gate {
     fn open(slow: f64, sharers: f64, part: f64) -> Gate {
         let shown = Ring::new(Span::millis(250) * sharers.min(PACE_MOST), 4);
-        Gate { room: ROOM_START * part, sharers, slow, part, shown, ..Gate::default() }
+        Gate { room: ROOM_START * part, growth: ROOM_RUSH, sharers, slow, part, shown, ..Gate::default() }
     }
 
     /// What all routers have under way here, if the others ask as much as this one does on the whole.
@@ -256,9 +257,10 @@
         let spare = 1.0 - ratio.unwrap_or(self.slow) / self.slow;
         self.mean += (self.used - self.mean) * (MEAN_WEIGHT / self.sharers);
         if spare < 0.0 {
+            self.growth = ROOM_GROWTH;
             self.room = (self.room * ROOM_CUT.powf(1.0 / pace)).max(ROOM_LEAST * self.part);
         } else if self.level() > self.room * IN_USE && ratio.is_some() {
-            self.room += ROOM_STEP.max(self.room * ROOM_GROWTH * spare) / pace;
+            self.room += ROOM_STEP.max(self.room * self.growth * spare) / pace;
         }
     }
 }
@@ -561,9 +563,7 @@
     /// harmless, so that what may have run gets one only where repeats are.
     fn give_up(&mut self, dl: DlIx, post: &mut Post) {
         let Some(Some(held)) = self.dls.get(dl.0 as usize) else { return };
-        if let Some(source) = held.source {
-            post.send(To::Node(source), Note::never_sent(dl));
-        }
+        held.source.into_iter().for_each(|source| post.send(To::Node(source), Note::never_sent(dl)));
         let repeat = self.trades[held.what.content.0 as usize].content.repeat;
         let known = matches!(repeat, Repeat::Retriable | Repeat::Deduped { within: Circle::All, .. });
         let retry_after = (BACK_IN * (0.5 + post.chance())).min(self.profile.longest_retry_after);
--- a/src/state.rs
+++ b/src/state.rs
@@ -296,6 +296,8 @@
 #[derive(Default)]
 pub struct Gate {
     pub(crate) room: f64,
+    /// Part of the room by which it may widen.
+    pub(crate) growth: f64,
     /// Of this router, now and over some time.
     pub(crate) used: f64,
     pub(crate) mean: f64,
