A node connection that takes nothing gets no further pulls, and a half-written one is ended

Read in the source: is_doubtful looked at pulls written whole only, so that pulls were queued behind one that the node does not read; and an id given up while it was being written was unknown until that was done. Test: a_connection_whose_node_takes_nothing_gets_nothing_more.

--- a/crates/router/src/transport/node.rs
+++ b/crates/router/src/transport/node.rs
@@ -30,6 +30,8 @@
     written: RefCell<HashMap<Hex, (PullNo, Instant)>>,
     /// The pull being written, which may still be given up as one that never came whole.
     writing: Cell<Option<(PullNo, Hex)>>,
+    /// Since when a packet, given up or not, has been on its way out.
+    writes: Cell<Option<Instant>>,
     /// Given up here: a late answer must not pass for that of a new pull of the same download.
     spent: RefCell<VecDeque<Hex>>,
     retired: Cell<bool>,
@@ -65,7 +67,12 @@
     /// had better not wait behind it: a connection that brought a spoilt answer may stay open and silent.
     fn is_doubtful(&self, silence: Duration) -> bool {
         let first = self.written.borrow().values().map(|(_, at)| *at).min();
-        first.is_some_and(|at| at.max(self.brought.get()).elapsed() > silence)
+        first.is_some_and(|at| at.max(self.brought.get()).elapsed() > silence) || self.is_stuck(silence)
+    }
+
+    /// The node takes nothing.
+    fn is_stuck(&self, silence: Duration) -> bool {
+        self.writes.get().is_some_and(|since| since.elapsed() > silence)
     }
 
     fn is_idle(&self) -> bool {
@@ -143,6 +150,7 @@
             queue: RefCell::default(),
             written: RefCell::default(),
             writing: Cell::new(None),
+            writes: Cell::new(None),
             spent: RefCell::default(),
             retired: Cell::new(false),
             ended: Cell::new(false),
@@ -191,8 +199,12 @@
                 wire.wake.notify(usize::MAX);
                 return false;
             }
-            if wire.writing.get().is_some_and(|(no, _)| no == pull) {
+            if let Some((_, id)) = wire.writing.get().filter(|(no, _)| *no == pull) {
                 wire.writing.set(None);
+                wire.spend(id, self.common.limits.node_spent_ids);
+                if wire.is_stuck(self.common.limits.node_silence) {
+                    wire.retire();
+                }
                 return false;
             }
         }
@@ -228,7 +240,7 @@
             wire.brought.set(Instant::now());
             let stream = Rc::new(stream);
             // A task of its own: what wakes one side must not make the other try its socket for nothing.
-            let writer = executor.spawn(write(wire.clone(), stream.clone(), common.limits.node_spent_ids));
+            let writer = executor.spawn(write(wire.clone(), stream.clone()));
             let why = or(or(read(&common, &wire, &stream, &name), writer), watch(&common, &wire)).await;
             debug!(common.log, "node connection ended"; "node" => &name, "why" => &why);
         }
@@ -289,7 +301,7 @@
     }
 }
 
-async fn write(wire: Rc<Wire>, stream: Rc<Stream>, spent_ids: usize) -> String {
+async fn write(wire: Rc<Wire>, stream: Rc<Stream>) -> String {
     loop {
         let next = wire.queue.borrow_mut().pop_front();
         let Some(Queued { pull, packet }) = next else {
@@ -300,7 +312,9 @@
             continue;
         };
         wire.writing.set(pull);
+        wire.writes.set(Some(Instant::now()));
         let wrote = write_packets(&stream, &[packet], |_| {}).await;
+        wire.writes.set(None);
         wire.busy.set(Instant::now());
         if let Err(why) = wrote {
             return why.to_string();
@@ -310,7 +324,6 @@
                 wire.written.borrow_mut().insert(id, (no, Instant::now()));
             } else {
                 // Given up while it was being written: it is whole now, so it has to be called back.
-                wire.spend(id, spent_ids);
                 wire.queue.borrow_mut().push_front(Queued { pull: None, packet: node::write_cancel(id) });
             }
         }
--- a/crates/router/tests/links.rs
+++ b/crates/router/tests/links.rs
@@ -144,6 +144,28 @@
     assert_eq!((nodes.len(), lost), (3, vec![]));
 }
 
+/// Guards what comes next against a node that takes nothing: it would wait behind the one being written.
+#[test]
+fn a_connection_whose_node_takes_nothing_gets_nothing_more() {
+    let mut nodes = Vec::new();
+    let lost = play_on(3, async |links, contact, listener| {
+        assert!(links.pull(0, contact, 1, id(1), packet(HUGE)));
+        Timer::after(Duration::from_millis(400)).await;
+        nodes.push(listener.accept().unwrap().0);
+        listener.set_nonblocking(true).unwrap();
+        assert!(links.pull(0, contact, 2, id(2), packet(10)));
+        Timer::after(SHORT).await;
+        nodes.push(listener.accept().expect("the second goes over another").0);
+        assert!(!links.cancel(0, 1), "half of it is out");
+        Timer::after(SHORT).await;
+        let mut first = &nodes[0];
+        first.set_read_timeout(Some(Duration::from_millis(500))).unwrap();
+        let read = std::io::copy(&mut first, &mut std::io::sink()).expect("ended, not left open");
+        assert!(read < HUGE as u64, "{read}");
+    });
+    assert_eq!(lost, []);
+}
+
 /// Guards against a wrong length, which swallows the answers after it, and against what stops half way: bytes may
 /// keep coming, but no answer does.
 #[test]
