A lost answer is asked for again at home, and is not held against the origin

Each such download waited to its deadline (50 to 90 time-outs a second), and 270 a second were throttled, as the origin's gate stood at its least of 3 while what did come from the origin took 0.3 of its target time. Checked and ruled out: caches set aside (0), their gates (rooms of 50 to 70 for 40 pulls), the link's gate (100 for 80). Lines at fault: Node::beat says nothing of a single overdue pull at a cache that answers others; Desk::tell_nodes shows the origin's gate each time-out on what may be a miss in full, hits among them. Changed: overdue is reckoned from the best sending seen of that object. Where its node has answered others since and the origin is not slow, such a pull is called back and goes home again once. A pull that is called back now ends 10 ms after its cancel, unless nobody waits for its download.

--- a/crates/router/src/program/limits.rs
+++ b/crates/router/src/program/limits.rs
@@ -71,6 +71,8 @@
     /// How long after its deadline a download waits for the core's answer before it is abandoned all the
     /// same.
     pub answer_grace: Span,
+    /// How long after a cancel was queued for a pull the next pull of its download may follow.
+    pub call_back_settles: Span,
     /// How long a node that is gone is remembered: longer than any download lasts, and than the core believes
     /// in what a cache held.
     pub gone_kept: Span,
@@ -129,6 +131,7 @@
             node_spent_ids: 256,
             node_idle: Duration::from_micros(outside.idle_closes_after.as_micros()).mul_f64(0.8),
             answer_grace: Span::millis(20),
+            call_back_settles: Span::millis(10),
             gone_kept: Span::millis(90_000),
             feed_silence: Duration::from_millis(1_800),
             feed_pause: Duration::from_millis(200),
--- a/crates/router/src/program/mod.rs
+++ b/crates/router/src/program/mod.rs
@@ -44,8 +44,9 @@
     let clients = client::Clients::new(limits.clone(), clock, inbox.clone(), log.clone());
     let nodes = node::Links::new(limits.clone(), inbox.clone(), log.clone(), executor.clone());
     let mut outward = Outside { clients: clients.clone(), nodes };
-    let (answer_grace, gone_kept) = (limits.answer_grace, limits.gone_kept);
-    let terms = Terms { profile, kinds, outside, answer_grace, gone_kept };
+    let (answer_grace, call_back_settles) = (limits.answer_grace, limits.call_back_settles);
+    let gone_kept = limits.gone_kept;
+    let terms = Terms { profile, kinds, outside, answer_grace, call_back_settles, gone_kept };
     let mut routing = Routing::open(terms, seed, clock.now());
     routing.step(clock.now(), known.into_iter().map(News::Told), &mut outward);
     let listener = Async::<TcpListener>::bind(listen)
--- a/crates/router/src/routing/mod.rs
+++ b/crates/router/src/routing/mod.rs
@@ -60,6 +60,7 @@
 enum Bell {
     Core(u32),
     PullTimesOut(PullNo),
+    CalledBack(PullNo),
     Deadline(DlNo),
     Overdue(DlNo),
     Forget(NodeNo),
@@ -92,6 +93,8 @@
     pub outside: Outside,
     /// How long after its deadline a download waits for the core's answer before it is abandoned here.
     pub answer_grace: Span,
+    /// How long a pull that was called back is taken to be still at its node.
+    pub call_back_settles: Span,
     /// How long a node that is gone is remembered.
     pub gone_kept: Span,
 }
@@ -102,6 +105,7 @@
     kinds: Kinds,
     outside: Outside,
     answer_grace: Span,
+    call_back_settles: Span,
     gone_kept: Span,
     contents: HashMap<Vec<u8>, ContentIx>,
     contacts: Contacts,
@@ -119,13 +123,14 @@
 
 impl Routing {
     pub fn open(terms: Terms, seed: u64, now: Moment) -> Routing {
-        let Terms { profile, kinds, outside, answer_grace, gone_kept } = terms;
+        let Terms { profile, kinds, outside, answer_grace, call_back_settles, gone_kept } = terms;
         let names = outside.contents.iter().enumerate();
         Routing {
             brain: Brain::open(profile, seed, now),
             register: Register::default(),
             kinds,
             answer_grace,
+            call_back_settles,
             gone_kept,
             contents: names.map(|(at, n)| (n.clone().into_bytes(), ContentIx(at as u16))).collect(),
             outside,
@@ -354,6 +359,7 @@
         match bell {
             Bell::Core(bell) => self.events.push(Event::Rang { bell }),
             Bell::PullTimesOut(pull) => self.time_out(pull, now, outward),
+            Bell::CalledBack(pull) => self.ended(pull, Ending::Cancelled, Remark::Nothing, Span::ZERO, now),
             Bell::Deadline(dl) => {
                 if let Some(held) = self.held.get(&dl).filter(|h| !h.answered) {
                     held.pulls.clone().into_iter().for_each(|pull| self.time_out(pull, now, outward));
@@ -394,8 +400,13 @@
                 let Some(pull) = pulls.and_then(|p| p.get(number as usize)).copied() else { return };
                 let Some(node) = self.out.get(&pull).map(|out| out.node) else { return };
                 let never_left = outward.cancel(node, pull);
-                let ending = if never_left { Ending::NotSent } else { Ending::Cancelled };
-                self.ended(pull, ending, Remark::Nothing, Span::ZERO, now);
+                if never_left || self.held.get(&dl).is_none_or(|held| held.answered) {
+                    let ending = if never_left { Ending::NotSent } else { Ending::Cancelled };
+                    return self.ended(pull, ending, Remark::Nothing, Span::ZERO, now);
+                }
+                // Guards against two pulls of one download at work at once: the next one may go over another
+                // connection, and would overtake the cancel on its way.
+                self.set(now + self.call_back_settles, Bell::CalledBack(pull));
             }
             Order::Throttle { dl, retry_after } => {
                 let retry_after_ms = retry_after.as_micros().div_ceil(1_000);
--- a/crates/router/tests/routing.rs
+++ b/crates/router/tests/routing.rs
@@ -108,7 +108,9 @@
 impl Bed {
     fn open() -> Bed {
         let (outside, answer_grace, gone_kept) = (outside(), Span::millis(20), Span::millis(10_000));
-        let terms = Terms { profile: profile(), kinds: KINDS, outside, answer_grace, gone_kept };
+        let call_back_settles = Span::millis(10);
+        let terms =
+            Terms { profile: profile(), kinds: KINDS, outside, answer_grace, call_back_settles, gone_kept };
         let routing = Routing::open(terms, 11, START);
         let mut bed = Bed { routing, paper: Paper::default(), now: START };
         bed.hear(vec![News::Told(all_ready())]);
@@ -271,6 +273,22 @@
     assert!(bed.paper.answers.is_empty());
 }
 
+/// The next pull may go over another connection than the cancel, and must not overtake it: some operators allow no
+/// two at work at once.
+#[test]
+fn what_is_called_back_goes_on_only_once_its_cancel_has_settled() {
+    let mut bed = Bed::open();
+    let first = bed.ask(1, "page", 2_000);
+    let members = vec![member(bed.paper.pulls[0].0, MemberState::Gone, 0)];
+    bed.hear(vec![News::Told(Told::Members { whole: false, members })]);
+    assert_eq!(bed.paper.cancels, [first]);
+    bed.wait(9);
+    assert_eq!(bed.paper.pulls.len(), 1, "{:?}", bed.paper.pulls);
+    bed.wait(2);
+    assert_eq!(bed.paper.pulls.len(), 2);
+    assert_ne!(bed.paper.pulls[1].0, bed.paper.pulls[0].0);
+}
+
 /// A pull that waits for its connection must not reach a node that drains meanwhile, nor carry copy limits from
 /// before a purge; one that is out runs on.
 #[test]
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -5,7 +5,7 @@
 //! Beside it stand six mechanisms, each where its number is:
 //! (1) failures in a row set a cache or parent aside, and a trial download later brings it back;
 //! (2) a cold budget, this router's share of what a fresh cache or parent may be sent;
-//! (3) pulls on a node set aside or gone are called back, and further pulls go on in hash order;
+//! (3) pulls that are lost, or on a node set aside or gone, are called back, and others follow in hash order;
 //! (4) throttling by chance as a cache's gate fills up, cheaper downloads more often;
 //! (5) purge memory, which bounds the age of the copies that will do;
 //! (6) the origin and link guard: such gates for fills, past which only copies that are held are asked for.
@@ -135,7 +135,7 @@
     }
 
     fn call_back(&self, post: &mut Post) {
-        self.out.iter().for_each(|out| post.send(To::Desk, Note::Overdue { dl: out.dl }));
+        self.out.iter().for_each(|out| post.send(To::Desk, Note::Overdue { dl: out.dl, aside: true }));
     }
 
     /// (2) Whether a node is warm or its allowance covers the charge. Guards against pushing over what has
@@ -206,11 +206,11 @@
 
     fn beat(&mut self, post: &mut Post) {
         let (now, aside, last_good) = (post.now, self.aside.is_some(), self.last_good);
-        let mut failures = 0.0;
-        for out in self.out.iter_mut().filter(|o| !o.told && now.since(o.sent) > o.overdue) {
-            out.told = true;
-            failures += out.odds * f64::from(u8::from(out.sent >= last_good || aside));
-        }
+        let late = self.out.iter_mut().filter(|o| !o.told && now.since(o.sent) > o.overdue);
+        let late = late.map(|o| std::mem::replace(o, Out { told: true, ..*o }));
+        let (lost, silent): (Vec<_>, Vec<_>) = late.partition(|o| o.sent < last_good && !aside);
+        lost.iter().for_each(|o| post.send(To::Desk, Note::Overdue { dl: o.dl, aside }));
+        let failures: f64 = silent.iter().map(|o| o.odds).sum();
         if failures > 0.0 {
             self.judge(Verdict::Bad, failures, post);
             if self.aside.is_some() {
@@ -321,19 +321,17 @@
                     return self.place(dl, node, now);
                 }
                 // One set aside has failed others lately; to a download it is as good as failed.
-                let no_more = if aside { &mut held.failed } else { &mut held.declined };
-                no_more.push(node);
+                (if aside { &mut held.failed } else { &mut held.declined }).push(node);
                 self.ask_cache(dl, post);
             }
             Note::Ended(end) => self.ended(end, post),
             Note::Left(dl) => self.close(dl, post),
-            Note::Overdue { dl } => self.overdue(dl, post),
+            Note::Overdue { dl, aside } => self.overdue(dl, aside, post),
             Note::Purged { object, group, at } => self.purges.hear(object, group, at),
             Note::Beat => {
                 self.near.iter().for_each(|node| post.send(To::Node(*node), Note::Beat));
                 self.ledger.tidy(now, self.ledger.parent_tau * TABLE_CAP);
-                self.link.beat(now);
-                self.origin.beat(now);
+                [&mut self.link, &mut self.origin].into_iter().for_each(|gate| gate.beat(now));
                 self.purges.tidy(now.before(self.profile.purge_settles + PURGE_MARGIN));
                 post.order(Order::Ring { after: BEAT, bell: 0 });
             }
@@ -345,8 +343,7 @@
     fn spread(&self, what: &Download, now: Moment) -> f64 {
         let heat = self.ledger.heat.get(&what.object).map_or(0.0, |ring| ring.sum(now));
         let caches = self.ready(Role::Cache).count() as f64;
-        let many = HOT * self.ledger.traffic.sum(now).max(1.0);
-        (heat * caches / many).ceil().min(caches)
+        (heat * caches / (HOT * self.ledger.traffic.sum(now).max(1.0))).ceil().min(caches)
     }
 
     fn list(&mut self, listing: Listing, post: &mut Post) {
@@ -411,7 +408,7 @@
         let odds = if write { 1.0 } else { self.chance_of(usize::from(sure), post.now) };
         // What is not surely a hit weighs in full until it is over: odds lag behind a rush of misses.
         let charge = self.weight(&held.what) * if sure { odds } else { 1.0 };
-        let fill = self.out_of(dl, &held.what, odds, charge, post.now);
+        let fill = self.out_of(dl, held, odds, charge, post.now);
         let (node, carries, first) = (l.node, self.carries(&l), held.declined.is_empty());
         post.send(To::Node(node), Note::AskFill { node, fill, carries, first });
     }
@@ -432,8 +429,9 @@
         if told > 0.0 { told } else { self.trades[what.content.0 as usize].sending }
     }
 
-    fn out_of(&self, dl: DlIx, what: &Download, odds: f64, charge: f64, now: Moment) -> Out {
-        let overdue = Span::of_seconds(OVERDUE_MULTIPLE * self.weight(what)) + OVERDUE_LEAST;
+    fn out_of(&self, dl: DlIx, held: &Dl, odds: f64, charge: f64, now: Moment) -> Out {
+        let sending = held.line.sending.unwrap_or(self.weight(&held.what));
+        let overdue = Span::of_seconds(OVERDUE_MULTIPLE * sending) + OVERDUE_LEAST;
         Out { dl, sent: now, overdue, odds, charge, told: false }
     }
 
@@ -485,7 +483,7 @@
         let parent = source.is_some_and(|s| self.is_parent(s));
         let troubled = held.fill_failures > 0 || held.only_held || self.origin.is_slow(now);
         let odds = if self.believed(held, now) == Some(best.node) { 1.0 } else { DOUBTFUL_FAILURE };
-        let out = self.out_of(dl, what, odds, trade.sending.max(self.weight(what)), now);
+        let out = self.out_of(dl, held, odds, trade.sending.max(self.weight(what)), now);
         let pull = Pull {
             source,
             oldest: self.oldest(what, troubled, now),
@@ -589,15 +587,17 @@
     }
 
     /// (3) A pull on a node set aside or gone is called back, and goes on elsewhere once that is confirmed.
-    /// Guards against silence. A non-retriable download waits on: nothing could follow its pull.
-    fn overdue(&mut self, dl: DlIx, post: &mut Post) {
+    /// Guards against silence. A non-retriable download waits on: nothing could follow its pull. What takes
+    /// far longer than ever at a node that answers others is taken for lost, and pulled there once again.
+    fn overdue(&mut self, dl: DlIx, aside: bool, post: &mut Post) {
         let Some(Some(held)) = self.dls.get_mut(dl.0 as usize) else { return };
-        let repeat = self.trades[held.what.content.0 as usize].content.repeat;
-        let may = self.profile.may_cancel && !held.answered && repeat != Repeat::NonRetriable;
-        let number = held.sent.len().saturating_sub(1);
-        if let Some(sent) = held.sent.last_mut().filter(|s| may && !s.over && !s.called_back) {
+        let once = self.trades[held.what.content.0 as usize].content.repeat == Repeat::NonRetriable;
+        let lost = held.sent.len() == 1 && held.line.sending.is_some() && !self.origin.is_slow(post.now);
+        let may = self.profile.may_cancel && !held.answered && !once && (aside || lost);
+        let last = held.sent.iter_mut().enumerate().next_back();
+        if let Some((n, sent)) = last.filter(|(_, s)| may && !s.over && !s.called_back) {
             sent.called_back = true;
-            post.order(Order::Cancel { dl, pull: number as u8 });
+            post.order(Order::Cancel { dl, pull: n as u8 });
         }
     }
 
@@ -619,7 +619,7 @@
         } else if held.pulls_out() {
             return;
         }
-        let home = end.ending == Ending::Broken && end.pull == 0; // it has its copy yet, or refuses at once
+        let home = matches!(end.ending, Ending::Broken | Ending::Cancelled) && end.pull == 0; // has its copy
         if end.remark.is_behind() {
             // Another parent may do better than one that failed, but not than the origin behind them all.
             held.fill_failures += if end.remark == Remark::OriginFailed { FILL_FAILURES } else { 1 };
@@ -687,12 +687,11 @@
         if filled {
             self.link.show(end.took.less(end.first_byte) / target, weight, now);
         }
-        let failed = FAILED_RATIO * ORIGIN_SLOW;
         match end.remark {
             Remark::FromOrigin => self.origin.show(end.first_byte / target, 1.0, now),
-            Remark::OriginFailed | Remark::SourceLost => self.origin.show(failed, 1.0, now),
+            Remark::OriginFailed | Remark::SourceLost => self.origin.show(f64::INFINITY, 1.0, now),
             Remark::NoPlace => self.link.show(FAILED_RATIO * LINK_SLOW, weight, now),
-            _ if unseen => self.origin.show(end.took / target, 1.0, now),
+            _ if unseen => self.origin.show(end.took / target, DOUBTFUL_FAILURE, now),
             _ => {}
         }
         verdict
@@ -713,13 +712,12 @@
         let evicted = self.believed(held, now) == Some(was.node);
         let kept = line.gap.is_none_or(|gap| gap < self.ledger.edge_tau);
         let left = line.gap.is_none_or(|gap| gap < self.ledger.parent_tau);
-        let gaps = (line.gap.filter(|_| evicted), line.gap.filter(|_| at_origin && given.is_some()));
         let mean = |tau, gap: Option<Span>| gap.map_or(tau, |g| tau * (1.0 - TAU_WEIGHT) + g * TAU_WEIGHT);
-        self.ledger.edge_tau = mean(self.ledger.edge_tau, gaps.0);
-        self.ledger.parent_tau = mean(self.ledger.parent_tau, gaps.1);
+        self.ledger.edge_tau = mean(self.ledger.edge_tau, line.gap.filter(|_| evicted));
+        let again = line.gap.filter(|_| at_origin && given.is_some());
+        self.ledger.parent_tau = mean(self.ledger.parent_tau, again);
         let Some(entry) = self.ledger.lines.get_mut(&(what.object, what.part)) else { return };
         entry.edge = kept.then_some((was.node, now));
-        let given = through.filter(|_| left).map(|parent| (parent, now));
-        entry.parent = given.or(entry.parent.filter(|_| !at_origin));
+        entry.parent = through.filter(|_| left).map(|p| (p, now)).or(entry.parent.filter(|_| !at_origin));
     }
 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -219,6 +219,8 @@
     },
     Overdue {
         dl: DlIx,
+        /// The node is set aside or gone.
+        aside: bool,
     },
 }
 
--- a/tests/troubles.rs
+++ b/tests/troubles.rs
@@ -104,6 +104,51 @@
     }
 }
 
+/// Guards against answers that a network loses here and there: no cache is silent, and each such download would wait
+/// to its deadline. What was never seen sent may be large, and what a slow origin holds up is not lost.
+#[test]
+fn a_lost_answer_is_asked_for_again_at_home_once() {
+    for (seen, stuck, times) in [(true, false, 1), (false, false, 0), (true, true, 0)] {
+        let mut front = Front::open(profile());
+        hits(&mut front, 0..40);
+        let dl = front.page(if seen { 1 } else { 100 });
+        let mut lost = front.last_pull(dl);
+        let mut again = 0;
+        for n in 0..100 {
+            hits(&mut front, n % 40..n % 40 + 1);
+            if stuck {
+                let failed = front.page(1_000 + n);
+                front.end(front.last_pull(failed), Ending::Error, Remark::OriginFailed);
+                front.leave(failed);
+            }
+            for out in called_back(&front) {
+                front.end(out, Ending::Cancelled, Remark::Nothing);
+                assert_eq!(front.last_pull(dl).pull.node, lost.pull.node);
+                again += usize::from(out.dl == dl);
+                lost = front.last_pull(dl);
+            }
+        }
+        assert_eq!(again, times, "seen before: {seen}, origin stuck: {stuck}");
+        front.end(lost, Ending::Fulfilled, Remark::Hit);
+    }
+}
+
+/// Guards the origin's gate against a network that loses answers: most that time out never reached the origin.
+#[test]
+fn lost_answers_are_not_held_against_the_origin() {
+    let mut front = Front::open(profile());
+    let mut looked = 0;
+    for n in 0..400 {
+        let dl = front.arrive(PAGE, n, 0, Span::millis(900));
+        looked += usize::from(front.last_pull(dl).pull.only_held);
+        front.wait(TICK * 2.0);
+        if n % 3 > 0 {
+            front.end(front.last_pull(dl), Ending::Fulfilled, Remark::FromOrigin);
+        }
+    }
+    assert!(looked < 20, "{looked} of 400 only looked for where one in three is lost");
+}
+
 #[test]
 fn what_fails_behind_a_cache_is_not_held_against_it() {
     // Guards against a slow or refusing source emptying the caches in front of it.
