Messages of clients, nodes and feed in a crate of their own, shared with hubs to come

Need: a hub of ours and stand-ins have to speak by the same code as the router. Change: RESP, fields, client, node and feed messages move from the router into crates/wire; the node side of the node protocol is read and written there too, and what hubs of ours add (path, version, handover, chase) is in peer. The router writes none of it.

--- a/crates/router/src/program/config.rs
+++ b/crates/router/src/program/config.rs
@@ -1,8 +1,8 @@
 //! The one place where configuration is read, checked and given defaults. Every complaint names the key.
 use super::limits::Limits;
-use crate::protocol::feed::{Told, read_known};
 use harestage::door::ServiceProfile;
 use harestage_profile::{Kinds, Outside, read_outside, read_profile};
+use harestage_wire::feed::{Told, read_known};
 use serde_json::Value;
 use std::net::SocketAddr;
 
--- a/crates/router/src/routing/mod.rs
+++ b/crates/router/src/routing/mod.rs
@@ -4,15 +4,15 @@
 pub mod nodes;
 pub mod task;
 
-use crate::protocol::client::{ToClient, Wish};
-use crate::protocol::feed::Told;
-use crate::protocol::node::{Answer, Request, Word};
-use crate::protocol::{Packet, fields::Hex, node};
 use harestage::brain::Brain;
 use harestage::door::{Event, Order, Pull, Register, ServiceProfile};
 use harestage::state::*;
 use harestage::time::{Moment, Span};
 use harestage_profile::{Kinds, Outside};
+use harestage_wire::client::{ToClient, Wish};
+use harestage_wire::feed::Told;
+use harestage_wire::node::{Answer, Request, Word};
+use harestage_wire::{Packet, fields::Hex, node};
 use nodes::{Contact, Contacts, NodeNo};
 use std::collections::{BTreeMap, HashMap, HashSet};
 
@@ -455,6 +455,8 @@
             renew: order.renew,
             held: held.wish.held.as_ref().and_then(|h| std::str::from_utf8(h).ok()),
             body: held.wish.body.clone(),
+            // Nodes of the platform know no fields beyond its protocol.
+            way: None,
         };
         let queued = until > now && outward.pull(node, contact, pull, held.wish.id, node::write(&request));
         let source = source.map(|(source, _)| source);
--- a/crates/router/src/transport/feed.rs
+++ b/crates/router/src/transport/feed.rs
@@ -2,13 +2,13 @@
 //! move to another address.
 use super::Stream;
 use crate::program::limits::Limits;
-use crate::protocol::feed::{self, Line};
 use crate::routing::News;
 use async_channel::Sender;
 use async_io::{Async, Timer};
 use event_listener::Event;
 use futures_lite::future::or;
 use futures_lite::{AsyncReadExt, AsyncWriteExt};
+use harestage_wire::feed::{self, Line};
 use slog::{Logger, info, warn};
 use std::cell::Cell;
 use std::net::{SocketAddr, TcpStream};
--- a/crates/router/src/transport/mod.rs
+++ b/crates/router/src/transport/mod.rs
@@ -4,14 +4,14 @@
 pub mod feed;
 pub mod node;
 
-use crate::protocol::client::ToClient;
-use crate::protocol::resp::{Decoder, LINE_END};
-use crate::protocol::{Packet, fields::Hex};
 use crate::routing::nodes::{Contact, NodeNo};
 use crate::routing::{ClientNo, Outward, PullNo};
 use async_executor::LocalExecutor;
 use async_io::Async;
 use futures_lite::{AsyncReadExt, AsyncWriteExt};
+use harestage_wire::client::ToClient;
+use harestage_wire::resp::{Decoder, LINE_END};
+use harestage_wire::{Packet, fields::Hex};
 use std::io::{self, IoSlice};
 use std::net::TcpStream;
 use std::rc::Rc;
--- a/crates/router/src/transport/node.rs
+++ b/crates/router/src/transport/node.rs
@@ -2,14 +2,14 @@
 //! takes few others with it; a further one is opened where those are busy, were replaced, or get nowhere.
 use super::{Executor, Source, Stream, write_packets};
 use crate::program::limits::Limits;
-use crate::protocol::resp::{Bounds, Decoder};
-use crate::protocol::{Packet, fields::Hex, node};
 use crate::routing::nodes::{Contact, NodeNo};
 use crate::routing::{Loss, News, PullNo};
 use async_channel::Sender;
 use async_io::{Async, Timer};
 use event_listener::Event;
 use futures_lite::future::or;
+use harestage_wire::resp::{Bounds, Decoder};
+use harestage_wire::{Packet, fields::Hex, node};
 use slog::{Logger, debug, info, warn};
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, VecDeque};
--- a/crates/router/tests/routing.rs
+++ b/crates/router/tests/routing.rs
@@ -10,12 +10,12 @@
 use harestage::state::*;
 use harestage::time::{Moment, Span};
 use harestage_profile::{Kinds, Outside};
-use harestage_router::protocol::client::{ToClient, Wish};
-use harestage_router::protocol::feed::{Member, MemberState, Told};
-use harestage_router::protocol::node::{Answer, Word};
-use harestage_router::protocol::{Packet, fields::Hex};
 use harestage_router::routing::nodes::{Contact, Contacts, NodeNo};
 use harestage_router::routing::{ClientNo, Loss, News, Outward, PullNo, Routing, Terms};
+use harestage_wire::client::{ToClient, Wish};
+use harestage_wire::feed::{Member, MemberState, Told};
+use harestage_wire::node::{Answer, Word};
+use harestage_wire::{Packet, fields::Hex};
 
 const START: Moment = Moment::at_micros(1_764_576_000_000_000);
 const KINDS: Kinds = Kinds { parent: Some(1), origin: Some(2) };
--- a/crates/router/tests/sockets.rs
+++ b/crates/router/tests/sockets.rs
@@ -1,6 +1,6 @@
 //! The program on loopback, between small stand-ins for clients, caches and the feed.
 use bytes::Bytes;
-use harestage_router::protocol::resp::{Bounds, Decoder, LINE_END, head};
+use harestage_wire::resp::{Bounds, Decoder, LINE_END, head};
 use serde_json::{Value, json};
 use std::io::{Read, Write};
 use std::net::{TcpListener, TcpStream};
--- a/crates/router/src/protocol/client.rs
+++ b/crates/wire/src/client.rs
@@ -1,7 +1,7 @@
 //! What clients send and get.
-use super::Packet;
-use super::fields::{self, Fields, Hex};
-use super::resp::{self, Fault};
+use crate::Packet;
+use crate::fields::{self, Fields, Hex};
+use crate::resp::{self, Fault};
 use bytes::Bytes;
 
 /// The protocol's own bounds.
--- a/crates/router/src/protocol/fields.rs
+++ b/crates/wire/src/fields.rs
@@ -11,6 +11,12 @@
         digits.iter().all(u8::is_ascii_hexdigit).then_some(Hex(digits))
     }
 
+    pub fn of(number: u64) -> Hex {
+        let mut digits = [b'0'; 16];
+        digits.copy_from_slice(format!("{number:016x}").as_bytes());
+        Hex(digits)
+    }
+
     pub fn number(&self) -> u64 {
         let digits = std::str::from_utf8(&self.0).unwrap_or_default();
         u64::from_str_radix(digits, 16).unwrap_or_default()
--- a/crates/router/src/protocol/mod.rs
+++ b/crates/wire/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod feed;
 pub mod fields;
 pub mod node;
+pub mod peer;
 pub mod resp;
 
 use bytes::Bytes;
--- /dev/null
+++ b/crates/wire/src/node.rs
@@ -0,0 +1,300 @@
+//! What caches, parents and the origin are sent and answer.
+use crate::Packet;
+use crate::fields::{self, Fields, Hex};
+use crate::peer::{self, Chase, Way};
+use crate::resp;
+use bytes::Bytes;
+use harestage::state::Remark;
+
+/// A pull as it goes on the wire.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Request<'a> {
+    pub id: Hex,
+    pub content: &'a str,
+    pub object: Hex,
+    pub part: u32,
+    pub waits_ms: u64,
+    pub source: Option<&'a str>,
+    pub rank: u8,
+    /// None: the fresh time of the content type.
+    pub oldest_ms: Option<u64>,
+    pub join: bool,
+    pub only_held: bool,
+    pub no_copy: bool,
+    pub renew: bool,
+    pub held: Option<&'a str>,
+    pub body: Bytes,
+    /// What only hubs of ours tell each other; none towards a node of the platform.
+    pub way: Option<&'a Way>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Word {
+    Good,
+    StillGood,
+    Lacks,
+    Full,
+    Failed,
+    TooLate,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct Answer {
+    pub id: Hex,
+    pub word: Word,
+    pub remark: Remark,
+    /// Milliseconds waited for the source.
+    pub first_ms: f64,
+    pub body: Bytes,
+}
+
+pub fn write(request: &Request) -> Packet {
+    let switches = [
+        (request.join, "share"),
+        (request.only_held, "peek"),
+        (request.no_copy, "pass"),
+        (request.renew, "swr"),
+    ];
+    let hints: Vec<&str> = switches.iter().filter(|(on, _)| *on).map(|(_, word)| *word).collect();
+    let fields = Fields::default()
+        .with("kind", request.content)
+        .with("obj", request.object.as_str())
+        .with("seg", request.part)
+        .with("ms", request.waits_ms)
+        .with_some("parent", request.source)
+        .with_some("shelf", Some(request.rank).filter(|rank| *rank > 0))
+        .with_some("accept", request.oldest_ms)
+        .with_some("hints", Some(hints.join("+")).filter(|h| !h.is_empty()))
+        .with_some("got", request.held)
+        .with_some("via", request.way.map(|way| peer::path_text(&way.path)))
+        .with_some("ver", request.way.map(|way| way.version))
+        .with_some("hand", request.way.filter(|way| way.hand_over).map(|_| 1))
+        .or("-");
+    let items = [b"serve", request.id.as_str().as_bytes(), fields.as_bytes()];
+    Packet { head: resp::head(&items, request.body.len()), body: request.body.clone() }
+}
+
+pub fn write_cancel(id: Hex) -> Packet {
+    Packet {
+        head: resp::head(&[b"cancel"], id.as_str().len()),
+        body: Bytes::copy_from_slice(id.as_str().as_bytes()),
+    }
+}
+
+/// None: the answer can't be read.
+pub fn read(items: &[Bytes]) -> Option<Answer> {
+    let [id, word, list, body] = items else { return None };
+    let id = Hex::read(id)?;
+    let word = match word.as_ref() {
+        b"ACK" => Word::Good,
+        b"NOMOD" => Word::StillGood,
+        b"NOENT" => Word::Lacks,
+        b"AGAIN" => Word::Full,
+        b"EIO" => Word::Failed,
+        b"STALE" => Word::TooLate,
+        _ => return None,
+    };
+    let (mut remark, mut first_ms) = (Remark::Nothing, 0.0);
+    for (name, value) in fields::read(list) {
+        match name {
+            b"res" => remark = read_remark(&value),
+            b"first" => first_ms = fields::number(&value).filter(|ms: &f64| ms.is_finite()).unwrap_or(0.0),
+            _ => {}
+        }
+    }
+    Some(Answer { id, word, remark, first_ms, body: body.clone() })
+}
+
+fn read_remark(word: &[u8]) -> Remark {
+    match word {
+        b"HIT" => Remark::Hit,
+        b"MISS" => Remark::Filled,
+        b"MISS_ORIGIN" => Remark::FromOrigin,
+        b"COLLAPSED" => Remark::Joined,
+        b"STALE" => Remark::Aged,
+        b"UP_BUSY" => Remark::SourceRefused,
+        b"UP_DOWN" => Remark::SourceLost,
+        b"UP_MISS" => Remark::SourceLacks,
+        b"NO_FILL" => Remark::NoPlace,
+        b"ORIGIN_ERR" => Remark::OriginFailed,
+        _ => Remark::Nothing,
+    }
+}
+
+/// Longest name of a content type or node, in bytes, that a node takes.
+const LONGEST_NAME: usize = 64;
+const RANKS: u64 = 4;
+
+/// A pull as the node that is asked reads it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Asked {
+    pub id: Hex,
+    pub content: Bytes,
+    pub object: Hex,
+    pub part: u32,
+    pub waits_ms: u64,
+    /// None: what is not held is not filled.
+    pub source: Option<Bytes>,
+    pub rank: u8,
+    /// Milliseconds; none: the fresh time of the content type.
+    pub oldest_ms: Option<u64>,
+    pub join: bool,
+    pub only_held: bool,
+    pub no_copy: bool,
+    pub renew: bool,
+    pub held: Option<Bytes>,
+    pub body: Bytes,
+    /// None: it does not come from a hub of ours.
+    pub way: Option<Way>,
+}
+
+/// All that a node may be sent.
+#[derive(Clone, Debug, PartialEq)]
+pub enum ToNode {
+    Serve(Box<Asked>),
+    Cancel(Hex),
+    /// Asks whether the node is well; the tag comes back with the answer.
+    Health(Bytes),
+    /// Asks for the load report.
+    Gauges(Bytes),
+    /// Between our own hubs: who waits for whom.
+    Chase(Chase),
+}
+
+/// Reads what a node was sent. None: it can't be read, and the connection has to end.
+pub fn read_asked(items: &[Bytes]) -> Option<ToNode> {
+    match (items.first()?.as_ref(), items.len()) {
+        (b"serve", 4) => read_serve(items).map(|asked| ToNode::Serve(Box::new(asked))),
+        (b"cancel", 2) => Hex::read(&items[1]).map(ToNode::Cancel),
+        (b"health", 2) => read_tag(&items[1]).map(ToNode::Health),
+        (b"gauges", 2) => read_tag(&items[1]).map(ToNode::Gauges),
+        (b"chase", 3) => peer::read_chase(&items[1], &items[2]).map(ToNode::Chase),
+        _ => None,
+    }
+}
+
+fn read_tag(tag: &Bytes) -> Option<Bytes> {
+    (!tag.is_empty() && tag.len() <= LONGEST_NAME).then(|| tag.clone())
+}
+
+fn read_serve(items: &[Bytes]) -> Option<Asked> {
+    let (mut content, mut object, mut part, mut waits_ms) = (None, None, Some(0), None);
+    let (mut source, mut rank, mut oldest_ms, mut hints) = (None, Some(0), None, Bytes::new());
+    let (mut held, mut via, mut version, mut hand_over) = (None, None, None, false);
+    for (name, value) in fields::read(&items[2]) {
+        match name {
+            b"kind" => content = read_tag(&value),
+            b"obj" => object = Hex::read(&value),
+            b"seg" => part = fields::whole(&value).and_then(|part| u32::try_from(part).ok()),
+            b"ms" => waits_ms = fields::whole(&value).filter(|ms| *ms > 0),
+            b"parent" => source = Some(read_tag(&value)?),
+            b"shelf" => rank = fields::whole(&value).filter(|rank| *rank < RANKS),
+            b"accept" => oldest_ms = Some(fields::whole(&value)?),
+            b"hints" => hints = value,
+            b"got" => held = Some(read_tag(&value)?),
+            b"via" => via = Some(peer::read_path(&value)?),
+            b"ver" => version = Some(fields::whole(&value)?),
+            b"hand" => hand_over = value.as_ref() == b"1",
+            _ => {}
+        }
+    }
+    let hint = |word: &[u8]| hints.split(|b| *b == b'+').any(|hint| hint == word);
+    let way = via.map(|path| Way { path, version: version.unwrap_or(0), hand_over });
+    Some(Asked {
+        id: Hex::read(&items[1])?,
+        content: content?,
+        object: object?,
+        part: part?,
+        waits_ms: waits_ms?,
+        source,
+        rank: rank? as u8,
+        oldest_ms: oldest_ms.filter(|ms| *ms > 0),
+        join: hint(b"share"),
+        only_held: hint(b"peek"),
+        no_copy: hint(b"pass"),
+        renew: hint(b"swr"),
+        held,
+        body: items[3].clone(),
+        way,
+    })
+}
+
+/// An answer as a node gives it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Given {
+    pub id: Hex,
+    pub word: Word,
+    pub remark: Remark,
+    pub first_ms: f64,
+    /// The tag of the copy, and the Unix millisecond at which the origin gave it out.
+    pub copy: Option<CopyTag>,
+    pub body: Bytes,
+}
+
+/// What tells one copy from another.
+#[derive(Clone, Debug, PartialEq)]
+pub struct CopyTag {
+    pub digest: Bytes,
+    pub dated_ms: u64,
+    /// The group of the object, where the origin tells it.
+    pub group: Option<u32>,
+}
+
+pub fn write_given(given: &Given) -> Packet {
+    let word = match given.word {
+        Word::Good => "ACK",
+        Word::StillGood => "NOMOD",
+        Word::Lacks => "NOENT",
+        Word::Full => "AGAIN",
+        Word::Failed => "EIO",
+        Word::TooLate => "STALE",
+    };
+    let copy = given.copy.as_ref();
+    let digest = copy.and_then(|c| std::str::from_utf8(&c.digest).ok());
+    let fields = Fields::default()
+        .with_some("res", word_of(given.remark))
+        .with_some("first", Some(given.first_ms).filter(|ms| *ms > 0.0))
+        .with_some("digest", digest)
+        .with_some("dated", copy.map(|c| c.dated_ms))
+        .with_some("group", copy.and_then(|c| c.group))
+        .or("-");
+    let items = [given.id.as_str().as_bytes(), word.as_bytes(), fields.as_bytes()];
+    Packet { head: resp::head(&items, given.body.len()), body: given.body.clone() }
+}
+
+/// The answer to `health` and, with a report, to `gauges`.
+pub fn write_state(tag: &[u8], well: bool, gauges: Option<&str>) -> Packet {
+    let word: &[u8] = if well { b"READY" } else { b"AILING" };
+    let fields = Fields::default().with_some("gauges", gauges).or("-");
+    Packet { head: resp::head(&[tag, word, fields.as_bytes()], 0), body: Bytes::new() }
+}
+
+/// The copy that an answer brings, as a hub needs it. None: the answer says nothing of its copy.
+pub fn read_copy(items: &[Bytes]) -> Option<CopyTag> {
+    let (mut digest, mut dated_ms, mut group) = (None, None, None);
+    for (name, value) in fields::read(items.get(2)?) {
+        match name {
+            b"digest" => digest = read_tag(&value),
+            b"dated" => dated_ms = fields::whole(&value),
+            b"group" => group = fields::whole(&value).and_then(|group| u32::try_from(group).ok()),
+            _ => {}
+        }
+    }
+    Some(CopyTag { digest: digest?, dated_ms: dated_ms?, group })
+}
+
+fn word_of(remark: Remark) -> Option<&'static str> {
+    Some(match remark {
+        Remark::Nothing => return None,
+        Remark::Hit => "HIT",
+        Remark::Filled => "MISS",
+        Remark::FromOrigin => "MISS_ORIGIN",
+        Remark::Joined => "COLLAPSED",
+        Remark::Aged => "STALE",
+        Remark::SourceRefused => "UP_BUSY",
+        Remark::SourceLost => "UP_DOWN",
+        Remark::SourceLacks => "UP_MISS",
+        Remark::NoPlace => "NO_FILL",
+        Remark::OriginFailed => "ORIGIN_ERR",
+    })
+}
--- a/crates/router/tests/codec.rs
+++ b/crates/wire/tests/codec.rs
@@ -1,12 +1,13 @@
 //! The messages: round trips, every split of the input, the protocol page's own examples, and bad input.
 use bytes::Bytes;
 use harestage::state::Remark;
-use harestage_router::protocol::client::{self, FromClient, ToClient};
-use harestage_router::protocol::feed::{Line, MemberState, Told, read_known, read_line};
-use harestage_router::protocol::fields::{Fields, Hex, read as read_fields};
-use harestage_router::protocol::node::{self, Request, Word};
-use harestage_router::protocol::resp::{Bounds, Decoder, Fault, head};
-use harestage_router::protocol::{Packet, resp::LINE_END};
+use harestage_wire::client::{self, FromClient, ToClient};
+use harestage_wire::feed::{Line, MemberState, Told, read_known, read_line};
+use harestage_wire::fields::{Fields, Hex, read as read_fields};
+use harestage_wire::node::{self, Asked, CopyTag, Given, Request, ToNode, Word};
+use harestage_wire::peer::{self, Chase, Way};
+use harestage_wire::resp::{Bounds, Decoder, Fault, head};
+use harestage_wire::{Packet, resp::LINE_END};
 use quickcheck::{Gen, QuickCheck};
 
 const BOUNDS: Bounds = Bounds { items: 8, item_bytes: 48_000, item_room: 16 };
@@ -195,6 +196,7 @@
         renew: true,
         held: Some("4be0"),
         body: Bytes::from_static(b"\xff\x00"),
+        way: None,
     };
     let items = decode(&wire(&node::write(&request)), &[3]).unwrap().remove(0);
     let fields = "kind=segment,obj=7f3a9c21e0b4d655,seg=3,ms=1480,parent=s-1,shelf=2,accept=19,\
@@ -263,3 +265,96 @@
     assert_eq!(read, [(&b"a"[..], Bytes::from("1")), (b"c", Bytes::from("x=y"))]);
     assert_eq!(Fields::default().or("-"), "-");
 }
+
+fn items_of(packet: &Packet) -> Vec<Bytes> {
+    decode(&wire(packet), &[7]).unwrap().remove(0)
+}
+
+/// What a router writes, a hub reads, and the other way round: each field comes through as it was.
+#[test]
+fn a_pull_and_its_answer_come_through_both_codecs() {
+    let way = Way { path: vec!["hub-a".into(), "hub-b".into()], version: 7, hand_over: true };
+    let request = Request {
+        id: Hex::of(0x1f),
+        content: "clip",
+        object: Hex::of(9),
+        part: 3,
+        waits_ms: 250,
+        source: Some("archive"),
+        rank: 2,
+        oldest_ms: Some(900),
+        join: true,
+        only_held: true,
+        no_copy: true,
+        renew: true,
+        held: Some("aa"),
+        body: Bytes::from_static(b"\r\n\x00"),
+        way: Some(&way),
+    };
+    let Some(ToNode::Serve(asked)) = node::read_asked(&items_of(&node::write(&request))) else { panic!() };
+    let expected = Asked {
+        id: Hex::of(0x1f),
+        content: "clip".into(),
+        object: Hex::of(9),
+        part: 3,
+        waits_ms: 250,
+        source: Some("archive".into()),
+        rank: 2,
+        oldest_ms: Some(900),
+        join: true,
+        only_held: true,
+        no_copy: true,
+        renew: true,
+        held: Some("aa".into()),
+        body: Bytes::from_static(b"\r\n\x00"),
+        way: Some(way),
+    };
+    assert_eq!(*asked, expected);
+    let copy = CopyTag { digest: "ab12".into(), dated_ms: 1_764_576_000_123, group: Some(17) };
+    let given = Given {
+        id: Hex::of(0x1f),
+        word: Word::Good,
+        remark: Remark::FromOrigin,
+        first_ms: 9.5,
+        copy: Some(copy.clone()),
+        body: Bytes::from_static(b"bytes"),
+    };
+    let items = items_of(&node::write_given(&given));
+    let answer = node::read(&items).unwrap();
+    assert_eq!((answer.word, answer.remark, answer.first_ms), (Word::Good, Remark::FromOrigin, 9.5));
+    assert_eq!(node::read_copy(&items), Some(copy));
+}
+
+#[test]
+fn a_chase_comes_through_and_what_can_not_be_a_path_does_not() {
+    let chase = Chase { object: Hex::of(5), part: 2, path: vec!["a".into(), "b".into()], closed: true };
+    assert_eq!(node::read_asked(&items_of(&peer::write_chase(&chase))), Some(ToNode::Chase(chase)));
+    let long = vec!["a"; peer::LONGEST_PATH + 1].join("+");
+    for path in ["", "a++b", "a b", "a+b,c", long.as_str()] {
+        let items = [b"chase".as_slice(), b"obj=0000000000000005,seg=0", path.as_bytes()];
+        assert_eq!(node::read_asked(&items_of_array(&items)), None, "{path}");
+    }
+}
+
+fn items_of_array(items: &[&[u8]]) -> Vec<Bytes> {
+    decode(&array(items), &[64]).unwrap().remove(0)
+}
+
+/// A hub ends the connection on these, as a cache of the platform does.
+#[test]
+fn what_a_hub_can_not_read_is_told_from_what_it_can() {
+    let serve = |fields: &str| {
+        let items = [b"serve".as_slice(), b"000000000000001f", fields.as_bytes(), b""];
+        node::read_asked(&items_of_array(&items))
+    };
+    let good = "kind=clip,obj=0000000000000009,seg=0,ms=100";
+    assert!(serve(good).is_some());
+    for bad in ["-", "kind=clip,obj=9,seg=0,ms=100", "kind=clip,obj=0000000000000009,seg=0,ms=0"] {
+        assert_eq!(serve(bad), None, "{bad}");
+    }
+    for more in ["shelf=4", "accept=-1", "parent=", "seg=4294967296", "via=a b", "ver=x"] {
+        assert_eq!(serve(&format!("{good},{more}")), None, "{more}");
+    }
+    assert_eq!(node::read_asked(&items_of_array(&[b"serve", b"1"])), None);
+    assert_eq!(node::read_asked(&items_of_array(&[b"flush", b"1"])), None);
+}
