--- /dev/null
+++ b/crates/control/src/feed.rs
@@ -0,0 +1,88 @@
+//! A branch's control feed in the platform's form: its routers get the hubs that it is tied to as roster events. Each
+//! version is one event under its own number, so that routers find no gap, whatever changed.
+use harestage_shape::form::{CacheForm, HubForm};
+use harestage_shape::tree::{Place, PlaceIx, Shape};
+use serde_json::{Value, json};
+
+/// The event of a version for a branch, after the two versions before it as far as they are still known; the whole list
+/// where the one before is not.
+pub fn event(long_before: Option<&Shape>, before: Option<&Shape>, now: &Shape, branch: &str) -> Vec<u8> {
+    let (snapshot, mut endpoints) = match before {
+        None => (true, listed(now, branch)),
+        Some(before) => (false, changes(long_before.unwrap_or(before), before, now, branch)),
+    };
+    endpoints.sort_by(|a, b| a["name"].as_str().cmp(&b["name"].as_str()));
+    let members = json!({"index": now.version(), "snapshot": snapshot, "endpoints": endpoints});
+    let mut line = json!({"n": now.version(), "members": members}).to_string().into_bytes();
+    line.push(b'\n');
+    line
+}
+
+/// An event that says nothing: it keeps the numbers without a gap.
+pub fn nothing(number: u64) -> Vec<u8> {
+    let members = json!({"index": number, "snapshot": false, "endpoints": []});
+    (json!({"n": number, "members": members}).to_string() + "\n").into_bytes()
+}
+
+pub fn beat(last: u64) -> Vec<u8> {
+    format!("{last}\n").into_bytes()
+}
+
+/// All that a branch's routers may name: its caches, the hubs that it is tied to, the archive.
+fn listed(shape: &Shape, branch: &str) -> Vec<Value> {
+    let Some(at) = shape.find(branch) else { return Vec::new() };
+    let caches = match shape.place(at) {
+        Some(Place::Branch(form)) => form.caches.as_slice(),
+        _ => &[],
+    };
+    let hubs = shape.ties(at).iter().filter_map(|tie| shape.place(*tie).and_then(Place::hub));
+    let archive = shape.archive();
+    let origin = entry(&archive.name, &archive.address, "hub", "origin", "Ready", 0);
+    caches.iter().map(cache).chain(hubs.map(|hub| parent(hub, "Ready"))).chain([origin]).collect()
+}
+
+/// What is new or differs, and what the branch is tied to no longer: that drains with this version and is gone with
+/// the next, so that nothing new goes there while what is under way may end.
+fn changes(long_before: &Shape, before: &Shape, now: &Shape, branch: &str) -> Vec<Value> {
+    let (older, old, new) = (listed(long_before, branch), listed(before, branch), listed(now, branch));
+    let named = |list: &[Value], name: &Value| list.iter().any(|entry| entry["name"] == *name);
+    let mut changes: Vec<Value> = new.iter().filter(|entry| !old.contains(entry)).cloned().collect();
+    let said = |mut entry: Value, status: &str| {
+        entry["status"] = json!(status);
+        entry
+    };
+    let drains = old.iter().filter(|entry| !named(&new, &entry["name"]));
+    changes.extend(drains.map(|entry| said(entry.clone(), "Terminating")));
+    let gone = older.iter().filter(|entry| !named(&old, &entry["name"]) && !named(&new, &entry["name"]));
+    changes.extend(gone.map(|entry| said(entry.clone(), "Gone")));
+    changes
+}
+
+fn cache(form: &CacheForm) -> Value {
+    entry(&form.name, &form.address, "here", "std", "Ready", form.since_ms)
+}
+
+fn parent(hub: &HubForm, status: &str) -> Value {
+    entry(&hub.name, &hub.address, "hub", "parent", status, hub.since_ms)
+}
+
+fn entry(name: &str, address: &str, zone: &str, kind: &str, status: &str, since_ms: u64) -> Value {
+    json!({"name": name, "address": address, "zone": zone, "type": kind, "group": 0, "status": status,
+        "weight": 1, "since_ms": since_ms})
+}
+
+/// A hub is told a version without branches.
+pub fn for_hubs(shape: &Shape) -> harestage_shape::form::ShapeForm {
+    let mut form = shape.form();
+    form.branches.clear();
+    form
+}
+
+/// The branches that have a feed of their own, with its address.
+pub fn feeds(shape: &Shape) -> Vec<(String, String)> {
+    let feed = |(_, place): (PlaceIx, &Place)| match place {
+        Place::Branch(branch) => branch.feed.clone().map(|feed| (branch.name.clone(), feed)),
+        _ => None,
+    };
+    shape.places().filter_map(feed).collect()
+}
--- /dev/null
+++ b/crates/hub/src/desk.rs
@@ -0,0 +1,869 @@
+//! What a hub decides: whom it answers with what, where it fills from, when it leaves a wait, and what it keeps. Events
+//! come in with their moment, orders go out in a list. No socket, no clock, no chance: the same events give the same
+//! orders.
+use crate::store::{Copy, HIGHEST_RANK, Named, Store};
+use bytes::Bytes;
+use harestage::ring::Ring;
+use harestage::state::Remark;
+use harestage::time::{Moment, Span};
+use harestage_shape::control::{LoopSeen, Report};
+use harestage_shape::form::ShapeForm;
+use harestage_shape::knots::{self, Act, Key, Knot, Knots};
+use harestage_shape::parts::{Part, Share};
+use harestage_shape::route::{self, Next};
+use harestage_shape::shield::{ANSWERS_WITHIN, Reply, Right, Shield};
+use harestage_shape::tree::{ARCHIVE, PlaceIx, Shape, Versions};
+use harestage_wire::fields::Hex;
+use harestage_wire::node::{Answer, Asked, CopyTag, Given, Word};
+use harestage_wire::peer::{Chase, Way};
+use std::collections::{BTreeMap, HashMap};
+
+pub type ConnNo = u64;
+pub type PullNo = u64;
+type BellNo = (Moment, u64);
+
+/// A fill that its source leaves without an answer for as long goes to the next, while there is time for that.
+const STALLED: Span = Span::millis(1_500);
+/// A source whose connection was refused, or broke, is passed by for as long.
+const PASSED_BY: Span = Span::millis(1_000);
+/// The archive turned a fetch away: it goes again after it, so often at most.
+const AGAIN: Span = Span::millis(60);
+const MOST_AGAIN: u32 = 3;
+/// The rank of a copy whose pull names none.
+const USUAL_RANK: u8 = 1;
+const BEAT: Span = Span::millis(50);
+/// Loops that wait to be reported.
+const MOST_LOOPS: usize = 256;
+
+/// What bounds a desk.
+#[derive(Clone, Debug)]
+pub struct Bounds {
+    pub store_bytes: usize,
+    /// Fills under way, and pulls that wait for them.
+    pub fills: usize,
+    pub waiters: usize,
+}
+
+/// How long copies of a content type are fresh, and how long past that they may do. None: until they are purged.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Keeping {
+    pub fresh: Option<Span>,
+    pub grace: Span,
+}
+
+/// A place that is asked: its name in the shape, and its address.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Peer {
+    pub name: String,
+    pub address: String,
+}
+
+#[derive(Clone, Debug)]
+pub enum News {
+    Asked {
+        conn: ConnNo,
+        asked: Box<Asked>,
+    },
+    Cancelled {
+        conn: ConnNo,
+        id: Hex,
+    },
+    Gone {
+        conn: ConnNo,
+    },
+    Answered {
+        pull: PullNo,
+        answer: Answer,
+        copy: Option<CopyTag>,
+    },
+    /// No answer will come: the connection never came up, or broke.
+    Lost {
+        pull: PullNo,
+    },
+    Chased(Chase),
+    Told(Box<ShapeForm>),
+    Part {
+        part: Part,
+        asked: Moment,
+    },
+    Purged {
+        named: Named,
+        at: Moment,
+    },
+    /// What a hub calls itself.
+    Named {
+        addressed: String,
+        own: String,
+    },
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Order {
+    Answer {
+        conn: ConnNo,
+        given: Given,
+    },
+    Pull {
+        pull: PullNo,
+        to: Peer,
+        ask: Ask,
+    },
+    Cancel {
+        pull: PullNo,
+    },
+    Chase {
+        to: Peer,
+        chase: Chase,
+    },
+    /// A circle of waits was found here, and broken.
+    Broke(Knot),
+}
+
+/// A pull as the wire's request needs it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Ask {
+    pub content: Bytes,
+    pub object: u64,
+    pub part: u32,
+    pub waits: Span,
+    pub oldest_ms: Option<u64>,
+    pub only_held: bool,
+    pub no_copy: bool,
+    /// None: it goes to the archive, which is not ours.
+    pub way: Option<Way>,
+}
+
+/// A pull of somebody below that waits for a fill.
+struct Waiter {
+    conn: ConnNo,
+    id: Hex,
+    until: Moment,
+    oldest: Option<Span>,
+    held: Option<Bytes>,
+    /// It did not begin the fill.
+    joined: bool,
+}
+
+enum Stage {
+    /// A former home is asked for the right to fetch.
+    Asking {
+        pull: PullNo,
+        whom: PlaceIx,
+    },
+    Waiting {
+        pull: PullNo,
+        on: PlaceIx,
+    },
+    Fetching {
+        pull: PullNo,
+    },
+    /// For its turn at the archive, or for a right that was given away.
+    Resting,
+}
+
+struct Fill {
+    content: Bytes,
+    waiters: Vec<Waiter>,
+    stage: Stage,
+    /// Where it is not to be filled from.
+    avoid: Vec<PlaceIx>,
+    /// Former homes that have answered.
+    asked: Vec<PlaceIx>,
+    version: u64,
+    rank: u8,
+    no_copy: bool,
+    begun: Moment,
+    until: Moment,
+    again: u32,
+    /// It broke a circle: it fetches for all in it, whoever is home.
+    forced: bool,
+    /// It had its turn at the archive's gate asked for already.
+    queued: bool,
+    bell: Option<BellNo>,
+}
+
+#[derive(Clone, Copy)]
+enum Bell {
+    Fill(Key),
+    Waiter(Key),
+    Beat,
+}
+
+/// One hub.
+pub struct Desk {
+    name: String,
+    bounds: Bounds,
+    contents: HashMap<Bytes, Keeping>,
+    store: Store,
+    versions: Versions,
+    knots: Knots,
+    shield: Shield,
+    share: Share,
+    fills: HashMap<Key, Fill>,
+    /// Pulls below, so that a cancel finds its fill.
+    waiting: HashMap<(ConnNo, Hex), Key>,
+    pulls: HashMap<PullNo, Key>,
+    aside: BTreeMap<PlaceIx, Moment>,
+    bells: BTreeMap<BellNo, Bell>,
+    rung: u64,
+    last_pull: PullNo,
+    orders: Vec<Order>,
+    loops: Vec<LoopSeen>,
+    fetches: Ring,
+    lasted: Ring,
+    usual: Option<f64>,
+    hits: Ring,
+}
+
+impl Desk {
+    pub fn open(name: &str, bounds: Bounds, contents: HashMap<Bytes, Keeping>, now: Moment) -> Desk {
+        let mut desk = Desk {
+            name: name.into(),
+            store: Store::new(bounds.store_bytes),
+            bounds,
+            contents,
+            versions: Versions::default(),
+            knots: Knots::new(name),
+            shield: Shield::default(),
+            share: Share::new(now),
+            fills: HashMap::new(),
+            waiting: HashMap::new(),
+            pulls: HashMap::new(),
+            aside: BTreeMap::new(),
+            bells: BTreeMap::new(),
+            rung: 0,
+            last_pull: 0,
+            orders: Vec::new(),
+            loops: Vec::new(),
+            fetches: Ring::new(Span::millis(250), 4),
+            lasted: Ring::new(Span::millis(250), 4),
+            usual: None,
+            hits: Ring::new(Span::millis(1_000), 4),
+        };
+        desk.set(now + BEAT, Bell::Beat);
+        desk
+    }
+
+    pub fn next_bell(&self) -> Option<Moment> {
+        self.bells.first_key_value().map(|((at, _), _)| *at)
+    }
+
+    /// Takes in what has come up to `now`, then what is due by then.
+    pub fn step(&mut self, now: Moment, news: impl Iterator<Item = News>) -> Vec<Order> {
+        news.for_each(|news| self.take_in(news, now));
+        while let Some(first) = self.bells.first_entry().filter(|first| first.key().0 <= now) {
+            let bell = first.remove();
+            self.ring(bell, now);
+        }
+        std::mem::take(&mut self.orders)
+    }
+
+    fn take_in(&mut self, news: News, now: Moment) {
+        match news {
+            News::Asked { conn, asked } => self.asked(conn, *asked, now),
+            News::Cancelled { conn, id } => self.left(conn, id),
+            News::Gone { conn } => {
+                let of_conn = self.waiting.keys().filter(|(c, _)| *c == conn);
+                let mut ids: Vec<Hex> = of_conn.map(|(_, id)| *id).collect();
+                ids.sort_by_key(Hex::number);
+                ids.into_iter().for_each(|id| self.left(conn, id));
+            }
+            News::Answered { pull, answer, copy } => self.answered(pull, answer, copy, now),
+            News::Lost { pull } => self.lost(pull, now),
+            News::Chased(chase) => {
+                let key = (chase.object.number(), chase.part);
+                let chase = knots::Chase { key, path: chase.path, closed: chase.closed };
+                let act = self.knots.chased(chase, now);
+                self.act(act, now);
+            }
+            News::Told(form) => self.told(&form, now),
+            News::Part { part, asked } => self.share.told(part, asked, now),
+            News::Purged { named, at } => self.store.purge(named, at, now),
+            News::Named { addressed, own } => self.knots.known_as(&addressed, &own),
+        }
+    }
+
+    fn set(&mut self, at: Moment, bell: Bell) -> BellNo {
+        self.rung += 1;
+        self.bells.insert((at, self.rung), bell);
+        (at, self.rung)
+    }
+
+    /// A version that does not hold is passed over whole; the service checks it before it hands it out.
+    fn told(&mut self, form: &ShapeForm, now: Moment) {
+        let shape = match self.versions.newest() {
+            Some(newest) if form.version <= newest.version() => return,
+            Some(newest) => newest.followed_by(form),
+            None => Shape::of(form),
+        };
+        let Ok(shape) = shape else { return };
+        self.versions.enter(shape, now);
+        // What rests may have another way now.
+        let mut resting: Vec<Key> = self
+            .fills
+            .iter()
+            .filter(|(_, f)| matches!(f.stage, Stage::Resting))
+            .map(|(key, _)| *key)
+            .collect();
+        resting.sort_unstable();
+        resting.into_iter().for_each(|key| self.advance(key, now));
+    }
+
+    pub fn version(&self) -> u64 {
+        self.versions.newest().map_or(0, Shape::version)
+    }
+
+    fn me(&self, shape: &Shape) -> PlaceIx {
+        // A hub that no version names yet still serves what it holds; its fills go the usual way from nowhere.
+        shape.find(&self.name).unwrap_or(PlaceIx(u32::MAX))
+    }
+
+    // What comes from below.
+
+    fn asked(&mut self, conn: ConnNo, asked: Asked, now: Moment) {
+        // Writes run at the archive and nowhere else: two of them must never pass for one fill.
+        if !asked.body.is_empty() {
+            return self.refuse(conn, asked.id, Word::Full, Remark::SourceRefused);
+        }
+        let key = (asked.object.number(), asked.part);
+        let keeping = self.contents.get(&asked.content).copied();
+        let fresh = keeping.and_then(|k| k.fresh);
+        let oldest = asked.oldest_ms.map(Span::millis).or(fresh);
+        let good = self.good_copy(key, oldest, now);
+        self.hits.add(now, f64::from(u8::from(good.is_some())));
+        if let Some(way) = asked.way.as_ref().filter(|way| way.hand_over) {
+            let by = way.path.last().cloned().unwrap_or_default();
+            let under_way = self.fills.contains_key(&key);
+            let reply = self.shield.asked(key, &by, good.is_some(), under_way, now);
+            return self.hand_over(conn, asked.id, reply, good);
+        }
+        if let Some(copy) = good {
+            let aged = fresh.is_some_and(|fresh| now.since(copy.dated) > fresh);
+            let remark = if aged { Remark::Aged } else { Remark::Hit };
+            let given = give(asked.id, &copy, asked.held.as_ref(), remark, 0.0);
+            self.orders.push(Order::Answer { conn, given });
+            if aged && asked.renew && !self.fills.contains_key(&key) && self.fills.len() < self.bounds.fills {
+                self.begin(key, &asked, now);
+                self.advance(key, now);
+            }
+            return;
+        }
+        if asked.only_held || asked.source.is_none() {
+            let remark = if self.fills.contains_key(&key) { Remark::Joined } else { Remark::Nothing };
+            return self.refuse(conn, asked.id, Word::Lacks, remark);
+        }
+        self.fill_for(conn, key, asked, oldest, now);
+    }
+
+    fn good_copy(&mut self, key: Key, oldest: Option<Span>, now: Moment) -> Option<Copy> {
+        let copy = self.store.get(key)?;
+        let good = oldest.is_none_or(|oldest| now.since(copy.dated) <= oldest);
+        good.then(|| copy.clone())
+    }
+
+    fn refuse(&mut self, conn: ConnNo, id: Hex, word: Word, remark: Remark) {
+        let given = Given { id, word, remark, first_ms: 0.0, copy: None, body: Bytes::new() };
+        self.orders.push(Order::Answer { conn, given });
+    }
+
+    fn hand_over(&mut self, conn: ConnNo, id: Hex, reply: Reply, good: Option<Copy>) {
+        match (reply, good) {
+            (Reply::Held, Some(copy)) => {
+                let given = give(id, &copy, None, Remark::Hit, 0.0);
+                self.orders.push(Order::Answer { conn, given });
+            }
+            (Reply::UnderWay, _) => self.refuse(conn, id, Word::Lacks, Remark::Joined),
+            (Reply::Elsewhere { .. }, _) => self.refuse(conn, id, Word::Full, Remark::SourceRefused),
+            (Reply::Ceded { .. } | Reply::Held, _) => self.refuse(conn, id, Word::Lacks, Remark::Nothing),
+        }
+    }
+
+    fn fill_for(&mut self, conn: ConnNo, key: Key, asked: Asked, oldest: Option<Span>, now: Moment) {
+        if self.waiting.len() >= self.bounds.waiters || self.waiting.contains_key(&(conn, asked.id)) {
+            return self.refuse(conn, asked.id, Word::Full, Remark::NoPlace);
+        }
+        let path = asked.way.as_ref().map(|way| way.path.clone()).unwrap_or_default();
+        let new = !self.fills.contains_key(&key);
+        if new {
+            // It came round to a hub whose own fill is over meanwhile: a new one would go round again.
+            if path.contains(&self.name) {
+                return self.refuse(conn, asked.id, Word::Full, Remark::SourceRefused);
+            }
+            if self.fills.len() >= self.bounds.fills {
+                return self.refuse(conn, asked.id, Word::Full, Remark::NoPlace);
+            }
+            self.begin(key, &asked, now);
+        }
+        let until = now + Span::millis(asked.waits_ms);
+        let waiter = Waiter { conn, id: asked.id, until, oldest, held: asked.held.clone(), joined: !new };
+        self.waiting.insert((conn, asked.id), key);
+        self.set(until, Bell::Waiter(key));
+        if let Some(fill) = self.fills.get_mut(&key) {
+            fill.waiters.push(waiter);
+            fill.until = fill.until.max(until);
+            fill.no_copy &= asked.no_copy;
+            fill.rank = fill.rank.max(rank_of(&asked));
+        }
+        if new {
+            self.advance_by(key, &path, now);
+        } else {
+            let act = self.knots.joined(key, &path, now);
+            self.act(act, now);
+        }
+    }
+
+    fn begin(&mut self, key: Key, asked: &Asked, now: Moment) {
+        let version = self.versions.pin().unwrap_or(0);
+        let fill = Fill {
+            content: asked.content.clone(),
+            waiters: Vec::new(),
+            stage: Stage::Resting,
+            avoid: Vec::new(),
+            asked: Vec::new(),
+            version,
+            rank: rank_of(asked),
+            no_copy: asked.no_copy,
+            begun: now,
+            until: now + Span::millis(asked.waits_ms),
+            again: 0,
+            forced: false,
+            queued: false,
+            bell: None,
+        };
+        self.fills.insert(key, fill);
+    }
+
+    /// One of those who wait has left. When nobody waits any more, the fill is given up, and so is what it asked for.
+    fn left(&mut self, conn: ConnNo, id: Hex) {
+        let Some(key) = self.waiting.remove(&(conn, id)) else { return };
+        let Some(fill) = self.fills.get_mut(&key) else { return };
+        fill.waiters.retain(|waiter| (waiter.conn, waiter.id) != (conn, id));
+        if fill.waiters.is_empty() {
+            self.give_up(key);
+        }
+    }
+
+    fn give_up(&mut self, key: Key) {
+        let pull = match self.end(key).map(|fill| fill.stage) {
+            Some(Stage::Asking { pull, .. } | Stage::Waiting { pull, .. } | Stage::Fetching { pull }) => pull,
+            Some(Stage::Resting) | None => return,
+        };
+        self.cancel(pull);
+    }
+
+    fn cancel(&mut self, pull: PullNo) {
+        if self.pulls.remove(&pull).is_some() {
+            self.orders.push(Order::Cancel { pull });
+        }
+    }
+
+    fn end(&mut self, key: Key) -> Option<Fill> {
+        let fill = self.fills.remove(&key)?;
+        self.versions.unpin(fill.version);
+        self.knots.over(key);
+        fill.bell.map(|bell| self.bells.remove(&bell));
+        for waiter in &fill.waiters {
+            self.waiting.remove(&(waiter.conn, waiter.id));
+        }
+        Some(fill)
+    }
+
+    // Where a fill goes.
+
+    /// Sends a fill on after its first way has failed, by the newest version: a home that was passed by in an older
+    /// one would be fetched from beside the new home.
+    fn advance(&mut self, key: Key, now: Moment) {
+        if let Some(fill) = self.fills.get_mut(&key) {
+            self.versions.unpin(fill.version);
+            fill.version = self.versions.pin().unwrap_or(0);
+        }
+        self.advance_by(key, &[], now);
+    }
+
+    /// Sends a fill on its next way. `path`: the hubs that its first pull came through.
+    fn advance_by(&mut self, key: Key, path: &[String], now: Moment) {
+        let Some(fill) = self.fills.get(&key) else { return };
+        let Some(shape) = self.versions.get(fill.version).cloned() else {
+            return self.fail(key, Remark::SourceLost);
+        };
+        let me = self.me(&shape);
+        let mut avoid = fill.avoid.clone();
+        avoid.extend(self.aside.iter().filter(|(_, until)| **until > now).map(|(place, _)| *place));
+        let next = if fill.forced { Some(Next::Archive) } else { route::next(&shape, me, key.0, &avoid) };
+        match next {
+            Some(Next::Hub(hub)) => self.wait_on(key, hub, path, &shape, now),
+            Some(Next::Archive) => self.reach_archive(key, me, &shape, now),
+            None => self.fail(key, Remark::SourceLost),
+        }
+    }
+
+    fn wait_on(&mut self, key: Key, hub: PlaceIx, path: &[String], shape: &Shape, now: Moment) {
+        let name = shape.name(hub).to_string();
+        self.knots.waits(key, Some(&name), now);
+        // The path of the pull that began it; those who join later are followed by chases.
+        let act = self.knots.joined(key, path, now);
+        let way = self.way(path, shape.version(), false);
+        let pull = self.pull(key, hub, shape, false, Some(way), now);
+        self.stage(key, Stage::Waiting { pull, on: hub }, Some(now + STALLED), now);
+        if matches!(act, Some(Act::Leave { .. })) {
+            self.act(act, now);
+        }
+    }
+
+    fn way(&self, path: &[String], version: u64, hand_over: bool) -> Way {
+        let mut path = path.to_vec();
+        path.push(self.name.clone());
+        // What came by more hubs than a path may name keeps its last ones: a circle still shows by them.
+        let over = path.len().saturating_sub(harestage_wire::peer::LONGEST_PATH);
+        path.drain(..over);
+        Way { path, version, hand_over }
+    }
+
+    /// Asks former homes, takes its turn at the gate, and fetches.
+    fn reach_archive(&mut self, key: Key, me: PlaceIx, shape: &Shape, now: Moment) {
+        let Some(fill) = self.fills.get_mut(&key) else { return };
+        let right = match fill.forced {
+            true => Right::Own,
+            false => self.shield.right(&self.versions, me, key, &fill.asked, now),
+        };
+        self.knots.waits(key, None, now);
+        match right {
+            Right::Ask(whom) => {
+                let way = self.way(&[], shape.version(), true);
+                let pull = self.pull(key, whom, shape, true, Some(way), now);
+                self.stage(key, Stage::Asking { pull, whom }, Some(now + ANSWERS_WITHIN), now);
+            }
+            Right::Ceded { until } => {
+                let holder = self.shield.holder(key, now).and_then(|name| shape.find(name));
+                let holder = holder.filter(|place| *place != me && !fill.avoid.contains(place));
+                match holder {
+                    Some(holder) => self.wait_on(key, holder, &[], shape, now),
+                    None => self.stage(key, Stage::Resting, Some(until), now),
+                }
+            }
+            Right::Own => {
+                let lets = if fill.queued { self.share.again(now) } else { self.share.lets(now) };
+                fill.queued = !lets;
+                if !lets {
+                    let next = self.share.next(now);
+                    return self.stage(key, Stage::Resting, Some(next), now);
+                }
+                self.fetches.add(now, 1.0);
+                let pull = self.pull(key, ARCHIVE, shape, false, None, now);
+                self.stage(key, Stage::Fetching { pull }, None, now);
+            }
+        }
+    }
+
+    /// Sets what a fill waits for, and until when at most.
+    fn stage(&mut self, key: Key, stage: Stage, until: Option<Moment>, now: Moment) {
+        let until = until.map(|until| until.max(now + Span::millis(1)));
+        let bell = until.map(|until| self.set(until, Bell::Fill(key)));
+        let Some(fill) = self.fills.get_mut(&key) else { return };
+        fill.stage = stage;
+        if let Some(before) = std::mem::replace(&mut fill.bell, bell) {
+            self.bells.remove(&before);
+        }
+    }
+
+    fn pull(
+        &mut self,
+        key: Key,
+        place: PlaceIx,
+        shape: &Shape,
+        only_held: bool,
+        way: Option<Way>,
+        now: Moment,
+    ) -> PullNo {
+        self.last_pull += 1;
+        let pull = self.last_pull;
+        self.pulls.insert(pull, key);
+        // A former home may be in older versions only.
+        let to = peer(shape, place).or_else(|| self.versions.all().find_map(|shape| peer(shape, place)));
+        let (Some(fill), Some(to)) = (self.fills.get(&key), to) else { return pull };
+        let waits = if only_held { ANSWERS_WITHIN } else { fill.until.since(now).max(Span::millis(1)) };
+        let ask = Ask {
+            content: fill.content.clone(),
+            object: key.0,
+            part: key.1,
+            waits,
+            oldest_ms: self.oldest(key, fill, now),
+            only_held,
+            no_copy: fill.no_copy,
+            way,
+        };
+        self.orders.push(Order::Pull { pull, to, ask });
+        pull
+    }
+
+    /// The oldest copy that will do for all who wait, and after all purges that are known.
+    fn oldest(&self, key: Key, fill: &Fill, now: Moment) -> Option<u64> {
+        let wanted = fill.waiters.iter().filter_map(|waiter| waiter.oldest).min();
+        let purged = self.store.purged_at(key.0);
+        let since_purge = (purged > Moment::default()).then(|| now.since(purged));
+        let oldest = wanted.into_iter().chain(since_purge).min();
+        oldest.map(|oldest| (oldest.as_micros() / 1_000).max(1))
+    }
+
+    // What comes from above.
+
+    fn answered(&mut self, pull: PullNo, answer: Answer, copy: Option<CopyTag>, now: Moment) {
+        let Some(key) = self.pulls.remove(&pull) else { return };
+        let Some(fill) = self.fills.get_mut(&key) else { return };
+        let (asking, fetching, on) = match fill.stage {
+            Stage::Asking { whom, .. } => (true, false, whom),
+            Stage::Waiting { on, .. } => (false, false, on),
+            Stage::Fetching { .. } => (false, true, ARCHIVE),
+            Stage::Resting => return,
+        };
+        match (answer.word, copy) {
+            (Word::Good, Some(tag)) => return self.filled(key, answer, tag, fetching, now),
+            // Bytes that say nothing of their age can't be kept or given on.
+            (Word::Good | Word::StillGood, _) | (Word::Failed | Word::TooLate, _) if fetching => {
+                return self.fail(key, Remark::OriginFailed);
+            }
+            (Word::Lacks, _) if fetching => return self.fail(key, Remark::SourceLacks),
+            (Word::Full, _) if fetching => {
+                fill.again += 1;
+                if fill.again > MOST_AGAIN {
+                    return self.fail(key, Remark::OriginFailed);
+                }
+                return self.stage(key, Stage::Resting, Some(now + AGAIN), now);
+            }
+            // The former home is fetching it: to join that is to fetch it once.
+            (Word::Lacks, _) if asking && answer.remark == Remark::Joined => {
+                fill.asked.push(on);
+                let shape = self.versions.get(fill.version).cloned();
+                return match shape {
+                    Some(shape) => self.wait_on(key, on, &[], &shape, now),
+                    None => self.fail(key, Remark::SourceLost),
+                };
+            }
+            // The right went to another: that one's term has to end first.
+            (Word::Full, _) if asking && fill.again < MOST_AGAIN => {
+                fill.again += 1;
+                return self.stage(key, Stage::Resting, Some(now + harestage_shape::shield::TERM * 0.4), now);
+            }
+            _ => {}
+        }
+        if asking {
+            fill.asked.push(on)
+        } else {
+            fill.avoid.push(on)
+        }
+        self.advance(key, now);
+    }
+
+    fn lost(&mut self, pull: PullNo, now: Moment) {
+        let Some(key) = self.pulls.remove(&pull) else { return };
+        let Some(fill) = self.fills.get_mut(&key) else { return };
+        match fill.stage {
+            Stage::Asking { whom, .. } => {
+                fill.asked.push(whom);
+                self.aside.insert(whom, now + PASSED_BY);
+            }
+            Stage::Waiting { on, .. } => {
+                fill.avoid.push(on);
+                self.aside.insert(on, now + PASSED_BY);
+            }
+            Stage::Fetching { .. } => {
+                fill.again += 1;
+                if fill.again > MOST_AGAIN {
+                    return self.fail(key, Remark::OriginFailed);
+                }
+                return self.stage(key, Stage::Resting, Some(now + AGAIN), now);
+            }
+            Stage::Resting => return,
+        }
+        self.advance(key, now);
+    }
+
+    fn filled(&mut self, key: Key, answer: Answer, tag: CopyTag, fetched: bool, now: Moment) {
+        let dated = Moment::at_micros(tag.dated_ms.saturating_mul(1_000));
+        let copy = Copy { digest: tag.digest, dated, group: tag.group, body: answer.body };
+        // A purge has come while it was on its way.
+        if !self.store.is_good(key, &copy) {
+            let Some(fill) = self.fills.get_mut(&key) else { return };
+            fill.again += 1;
+            if fill.again > MOST_AGAIN {
+                return self.fail(key, Remark::OriginFailed);
+            }
+            return self.advance(key, now);
+        }
+        self.shield.filled(key);
+        let Some(mut fill) = self.end(key) else { return };
+        let lasted = now.since(fill.begun).seconds();
+        self.lasted.add(now, lasted);
+        let usual = self.usual.unwrap_or(lasted);
+        self.usual = Some(usual + (lasted - usual) * 0.02);
+        let rank = if fill.no_copy { 0 } else { fill.rank };
+        self.store.put(key, copy.clone(), rank);
+        let (too_old, served): (Vec<_>, Vec<_>) = std::mem::take(&mut fill.waiters)
+            .into_iter()
+            .partition(|waiter| waiter.oldest.is_some_and(|oldest| now.since(dated) > oldest));
+        let origin = fetched || answer.remark == Remark::FromOrigin;
+        for waiter in served {
+            let remark = match (waiter.joined, origin) {
+                (true, _) => Remark::Joined,
+                (false, true) => Remark::FromOrigin,
+                (false, false) => Remark::Filled,
+            };
+            let first_ms = (lasted * 1e5).round() / 1e2;
+            let given = give(waiter.id, &copy, waiter.held.as_ref(), remark, first_ms);
+            self.orders.push(Order::Answer { conn: waiter.conn, given });
+        }
+        // Who joined asking for a younger copy than the fill was begun for gets one of its own.
+        if !too_old.is_empty() && !fetched {
+            let version = self.versions.pin().unwrap_or(0);
+            self.waiting.extend(too_old.iter().map(|waiter| ((waiter.conn, waiter.id), key)));
+            self.fills
+                .insert(key, Fill { waiters: too_old, version, bell: None, stage: Stage::Resting, ..fill });
+            self.advance(key, now);
+        } else {
+            too_old
+                .iter()
+                .for_each(|waiter| self.refuse(waiter.conn, waiter.id, Word::Lacks, Remark::SourceLacks));
+        }
+    }
+
+    /// Ends a fill that no way is left for. Each of those who wait hears it at once.
+    fn fail(&mut self, key: Key, remark: Remark) {
+        let Some(fill) = self.end(key) else { return };
+        let word = if remark == Remark::SourceLacks { Word::Lacks } else { Word::Failed };
+        fill.waiters.iter().for_each(|waiter| self.refuse(waiter.conn, waiter.id, word, remark));
+    }
+
+    // Circles.
+
+    fn act(&mut self, act: Option<Act>, now: Moment) {
+        match act {
+            Some(Act::Send { to, chase }) => self.send_chase(&to, chase),
+            Some(Act::Leave { knot }) => self.leave(knot, now),
+            // A way that long is no way: whoever waits gives up by its own deadline.
+            Some(Act::TooLong { .. }) | None => {}
+        }
+    }
+
+    fn send_chase(&mut self, to: &str, chase: knots::Chase) {
+        let shape = self.fills.get(&chase.key).and_then(|fill| self.versions.get(fill.version));
+        let Some(to) = shape.and_then(|shape| peer(shape, shape.find(to)?)) else { return };
+        let (object, part) = (Hex::of(chase.key.0), chase.key.1);
+        let chase = Chase { object, part, path: chase.path, closed: chase.closed };
+        self.orders.push(Order::Chase { to, chase });
+    }
+
+    /// This hub breaks the circle: its fill leaves the hub that it waits for and fetches for all in it.
+    fn leave(&mut self, knot: Knot, now: Moment) {
+        let Some(fill) = self.fills.get_mut(&knot.key) else { return };
+        fill.forced = true;
+        let waiting = match fill.stage {
+            Stage::Waiting { pull, .. } => Some(pull),
+            _ => None,
+        };
+        waiting.into_iter().for_each(|pull| self.cancel(pull));
+        if self.loops.len() < MOST_LOOPS {
+            self.loops.push(LoopSeen {
+                object: format!("{:016x}", knot.key.0),
+                path: knot.path.clone(),
+                waited_ms: knot.waited.as_micros() as f64 / 1e3,
+                before: knot.before,
+            });
+        }
+        let key = knot.key;
+        self.orders.push(Order::Broke(knot));
+        self.advance(key, now);
+    }
+
+    // Time.
+
+    fn ring(&mut self, bell: Bell, now: Moment) {
+        match bell {
+            Bell::Beat => {
+                self.set(now + BEAT, Bell::Beat);
+                self.aside.retain(|_, until| *until > now);
+                for act in self.knots.beat(now) {
+                    self.act(Some(act), now);
+                }
+            }
+            Bell::Waiter(key) => self.overdue(key, now),
+            Bell::Fill(key) => self.stalled(key, now),
+        }
+    }
+
+    /// Those whose time is up are forgotten: who asked has given up by itself.
+    fn overdue(&mut self, key: Key, now: Moment) {
+        let Some(fill) = self.fills.get(&key) else { return };
+        let due: Vec<_> = fill.waiters.iter().filter(|w| w.until <= now).map(|w| (w.conn, w.id)).collect();
+        due.into_iter().for_each(|(conn, id)| self.left(conn, id));
+    }
+
+    fn stalled(&mut self, key: Key, now: Moment) {
+        let Some(fill) = self.fills.get_mut(&key) else { return };
+        fill.bell = None;
+        if fill.until <= now {
+            return self.give_up(key);
+        }
+        match fill.stage {
+            Stage::Asking { pull, whom } => {
+                fill.asked.push(whom);
+                self.cancel(pull);
+            }
+            Stage::Waiting { pull, on } => {
+                fill.avoid.push(on);
+                self.cancel(pull);
+            }
+            Stage::Fetching { .. } => return,
+            Stage::Resting => {}
+        }
+        self.advance(key, now);
+    }
+
+    // What is told of this hub.
+
+    /// For the control service, some times a second.
+    pub fn report(&mut self, now: Moment) -> Report {
+        let (wants, part) = self.share.ask(now);
+        let recent = self.lasted.mean(now).filter(|_| self.lasted.count(now) >= 5.0);
+        let usual = self.usual.filter(|usual| *usual > 0.0);
+        let slowness = recent.zip(usual).map_or(1.0, |(recent, usual)| recent / usual.max(0.005));
+        let fetches = self.fetches.count(now);
+        let loops = std::mem::take(&mut self.loops);
+        Report { version: self.version(), slowness, fetches, wants, part, loops }
+    }
+
+    /// Fills under way, and the share of hits.
+    pub fn gauges(&self, now: Moment) -> (usize, f64) {
+        (self.fills.len(), self.hits.mean(now).unwrap_or(0.0))
+    }
+
+    pub fn store(&self) -> &Store {
+        &self.store
+    }
+
+    pub fn fills(&self) -> usize {
+        self.fills.len()
+    }
+}
+
+fn rank_of(asked: &Asked) -> u8 {
+    if asked.rank == 0 { USUAL_RANK } else { asked.rank.min(HIGHEST_RANK) }
+}
+
+fn peer(shape: &Shape, at: PlaceIx) -> Option<Peer> {
+    use harestage_shape::tree::Place;
+    let (name, address) = match shape.place(at)? {
+        Place::Archive(archive) => (&archive.name, &archive.address),
+        Place::Hub(hub) => (&hub.name, &hub.address),
+        Place::Branch(_) => return None,
+    };
+    Some(Peer { name: name.clone(), address: address.clone() })
+}
+
+fn give(id: Hex, copy: &Copy, held: Option<&Bytes>, remark: Remark, first_ms: f64) -> Given {
+    let still_good = held == Some(&copy.digest);
+    let (word, body) =
+        if still_good { (Word::StillGood, Bytes::new()) } else { (Word::Good, copy.body.clone()) };
+    let dated_ms = copy.dated.micros() / 1_000;
+    let tag = CopyTag { digest: copy.digest.clone(), dated_ms, group: copy.group };
+    Given { id, word, remark, first_ms, copy: Some(tag), body }
+}
--- /dev/null
+++ b/crates/hub/src/net/mod.rs
@@ -0,0 +1,115 @@
+//! A hub on sockets: one thread, one task that owns the desk, and tasks for each connection that reach it through one
+//! queue. Nothing here decides.
+mod down;
+mod follow;
+mod up;
+
+use crate::desk::{Desk, News, Order};
+use crate::start::HubStart;
+use async_channel::Receiver;
+use async_executor::LocalExecutor;
+use async_io::{Async, Timer};
+use futures_lite::future::or;
+use harestage_sockets::clock::Clock;
+use slog::{Logger, info, warn};
+use std::cell::RefCell;
+use std::net::{SocketAddr, TcpListener};
+use std::rc::Rc;
+
+/// What other tasks may ask of the desk, between two of its turns.
+pub(crate) struct Shared {
+    pub desk: RefCell<Desk>,
+    pub clock: Clock,
+    pub name: String,
+}
+
+/// A hub that listens already, so that whoever started it knows its address.
+pub struct Hub {
+    start: HubStart,
+    listener: Async<TcpListener>,
+}
+
+impl Hub {
+    /// Takes the address; an error is one line, and nothing listens then.
+    pub fn bind(start: HubStart) -> Result<Hub, String> {
+        let listener = Async::<TcpListener>::bind(start.listen)
+            .map_err(|why| format!("key listen: {} can't be listened on: {why}", start.listen))?;
+        Ok(Hub { start, listener })
+    }
+
+    pub fn address(&self) -> SocketAddr {
+        self.listener.get_ref().local_addr().unwrap_or(self.start.listen)
+    }
+
+    /// Serves until `stop` says so, or everyone who could say it is gone.
+    pub fn serve(self, log: Logger, stop: Receiver<()>) {
+        let executor = Rc::new(LocalExecutor::new());
+        async_io::block_on(executor.run(run(self, log, stop, executor.clone())));
+    }
+}
+
+async fn run(hub: Hub, log: Logger, stop: Receiver<()>, executor: Rc<LocalExecutor<'static>>) {
+    let Hub { start, listener } = hub;
+    let clock = Clock::start();
+    let mut desk = Desk::open(&start.name, start.bounds.clone(), start.contents.clone(), clock.now());
+    if let Some(shape) = start.shape.clone() {
+        desk.step(clock.now(), std::iter::once(News::Told(Box::new(shape))));
+    }
+    let shared = Rc::new(Shared { desk: RefCell::new(desk), clock, name: start.name.clone() });
+    let limits = Rc::new(start.limits);
+    let (inbox, news) = async_channel::bounded(limits.inbox);
+    let below = down::Below::new(limits.clone(), shared.clone(), inbox.clone(), log.clone());
+    let above = up::Above::new(limits.clone(), inbox.clone(), log.clone(), executor.clone());
+    info!(log, "ready"; "hub" => &start.name, "listen" => ?listener.get_ref().local_addr().ok());
+    executor.spawn(down::listen(below.clone(), listener, executor.clone())).detach();
+    executor.spawn(down::sweep(below.clone())).detach();
+    if let Some(control) = start.control {
+        let follower = follow::Follower { limits, shared: shared.clone(), inbox, log: log.clone(), control };
+        executor.spawn(follow::follow(follower)).detach();
+    }
+    let stopped = async {
+        let _ = stop.recv().await;
+    };
+    or(turns(shared, news, below, above, log.clone()), stopped).await;
+    info!(log, "ended"; "hub" => &start.name);
+}
+
+/// One turn for all that has come; the desk is free for others between turns only.
+async fn turns(
+    shared: Rc<Shared>,
+    news: Receiver<News>,
+    below: Rc<down::Below>,
+    mut above: up::Above,
+    log: Logger,
+) {
+    let mut come = Vec::new();
+    loop {
+        let bell = shared.desk.borrow().next_bell();
+        let rung = async {
+            match bell {
+                Some(bell) => Timer::at(shared.clock.instant(bell)).await,
+                None => Timer::never().await,
+            };
+            None
+        };
+        come.extend(or(async { news.recv().await.ok() }, rung).await);
+        while let Ok(more) = news.try_recv() {
+            come.push(more);
+        }
+        let orders = shared.desk.borrow_mut().step(shared.clock.now(), come.drain(..));
+        for order in orders {
+            match order {
+                Order::Answer { conn, given } => below.answer(conn, &given),
+                Order::Pull { pull, to, ask } => above.pull(pull, &to, ask),
+                Order::Cancel { pull } => above.cancel(pull),
+                Order::Chase { to, chase } => above.chase(&to, &chase),
+                Order::Broke(knot) => {
+                    let (path, object) = (knot.path.join(" -> "), format!("{:016x}", knot.key.0));
+                    let waited_ms = knot.waited.as_micros() as f64 / 1e3;
+                    warn!(log, "loop broken"; "path" => path, "object" => object, "waited_ms" => waited_ms,
+                        "seen_before" => knot.before);
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/hub/src/net/up.rs
@@ -0,0 +1,238 @@
+//! Connections to what a hub fills from: one each, so that a chase never overtakes the pull that it follows. Its end
+//! tells all that is open on it; a source that owes answers and says nothing for long is taken for gone.
+use crate::desk::{Ask, News, Peer, PullNo};
+use crate::start::Limits;
+use async_channel::Sender;
+use async_io::{Async, Timer};
+use event_listener::Event;
+use futures_lite::future::or;
+use harestage_sockets::{Executor, Source, Stream, write_packets};
+use harestage_wire::Packet;
+use harestage_wire::fields::{self, Hex};
+use harestage_wire::node::{self, Request};
+use harestage_wire::peer::{self, Chase};
+use harestage_wire::resp::{Bounds, Decoder};
+use slog::{Logger, info, warn};
+use std::cell::{Cell, RefCell};
+use std::collections::{HashMap, VecDeque};
+use std::net::{SocketAddr, TcpStream};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+const ITEM_ROOM: usize = 64 << 10;
+const READ_BUFFER: usize = 16 << 10;
+const LOOK: Duration = Duration::from_millis(100);
+const IDLE: Duration = Duration::from_secs(20);
+/// The tag under which a hub is asked what it calls itself.
+const WHO: &[u8] = b"who";
+
+struct Queued {
+    pull: Option<PullNo>,
+    packet: Packet,
+}
+
+struct Wire {
+    queue: RefCell<VecDeque<Queued>>,
+    /// Pulls that are owed an answer, queued or written.
+    open: RefCell<HashMap<PullNo, Instant>>,
+    heard: Cell<Instant>,
+    used: Cell<Instant>,
+    ended: Cell<bool>,
+    wake: Event,
+}
+
+struct Common {
+    limits: Rc<Limits>,
+    inbox: Sender<News>,
+    log: Logger,
+}
+
+pub(crate) struct Above {
+    common: Rc<Common>,
+    executor: Executor,
+    wires: HashMap<Peer, Rc<Wire>>,
+    on: HashMap<PullNo, Rc<Wire>>,
+}
+
+impl Above {
+    pub fn new(limits: Rc<Limits>, inbox: Sender<News>, log: Logger, executor: Executor) -> Above {
+        let common = Rc::new(Common { limits, inbox, log });
+        Above { common, executor, wires: HashMap::new(), on: HashMap::new() }
+    }
+
+    pub fn pull(&mut self, pull: PullNo, to: &Peer, ask: Ask) {
+        let content = String::from_utf8_lossy(&ask.content).into_owned();
+        let request = Request {
+            id: Hex::of(pull),
+            content: &content,
+            object: Hex::of(ask.object),
+            part: ask.part,
+            waits_ms: ask.waits.as_micros().div_ceil(1_000).max(1),
+            // A hub may fill; what only asks for what is held names no source. The archive has everything.
+            source: (!ask.only_held && ask.way.is_some()).then_some("archive"),
+            rank: 0,
+            oldest_ms: ask.oldest_ms,
+            join: true,
+            only_held: ask.only_held,
+            no_copy: ask.no_copy,
+            renew: false,
+            held: None,
+            body: bytes::Bytes::new(),
+            way: ask.way.as_ref(),
+        };
+        let packet = node::write(&request);
+        let wire = self.wire(to, ask.way.is_some());
+        wire.open.borrow_mut().insert(pull, Instant::now());
+        wire.queue.borrow_mut().push_back(Queued { pull: Some(pull), packet });
+        wire.wake.notify(usize::MAX);
+        self.on.retain(|_, wire| !wire.ended.get());
+        self.on.insert(pull, wire);
+    }
+
+    fn wire(&mut self, to: &Peer, ours: bool) -> Rc<Wire> {
+        self.wires.retain(|_, wire| !wire.ended.get());
+        if let Some(wire) = self.wires.get(to) {
+            return wire.clone();
+        }
+        let now = Instant::now();
+        let wire = Rc::new(Wire {
+            queue: RefCell::default(),
+            open: RefCell::default(),
+            heard: Cell::new(now),
+            used: Cell::new(now),
+            ended: Cell::new(false),
+            wake: Event::new(),
+        });
+        if ours {
+            wire.queue.borrow_mut().push_back(Queued { pull: None, packet: node::write_gauges(WHO) });
+        }
+        self.wires.insert(to.clone(), wire.clone());
+        let run = run(self.common.clone(), self.executor.clone(), wire.clone(), to.clone());
+        self.executor.spawn(run).detach();
+        wire
+    }
+
+    pub fn cancel(&mut self, pull: PullNo) {
+        let Some(wire) = self.on.remove(&pull).filter(|wire| !wire.ended.get()) else { return };
+        wire.open.borrow_mut().remove(&pull);
+        let queued = wire.queue.borrow().iter().position(|q| q.pull == Some(pull));
+        match queued {
+            Some(at) => drop(wire.queue.borrow_mut().remove(at)),
+            None => {
+                let packet = node::write_cancel(Hex::of(pull));
+                wire.queue.borrow_mut().push_back(Queued { pull: None, packet });
+                wire.wake.notify(usize::MAX);
+            }
+        }
+    }
+
+    /// Follows the pull that it is about over the same connection; without one there is nothing to follow.
+    pub fn chase(&mut self, to: &Peer, chase: &Chase) {
+        if let Some(wire) = self.wires.get(to).filter(|wire| !wire.ended.get()) {
+            wire.queue.borrow_mut().push_back(Queued { pull: None, packet: peer::write_chase(chase) });
+            wire.wake.notify(usize::MAX);
+        }
+    }
+}
+
+async fn run(common: Rc<Common>, executor: Executor, wire: Rc<Wire>, to: Peer) {
+    match connect(&common, &to).await {
+        Ok(stream) => {
+            wire.heard.set(Instant::now());
+            let stream = Rc::new(stream);
+            let writer = executor.spawn(write(wire.clone(), stream.clone()));
+            let why = or(or(read(&common, &wire, &stream, &to), writer), watch(&common, &wire)).await;
+            if !wire.open.borrow().is_empty() {
+                warn!(common.log, "source lost"; "source" => &to.name, "why" => why);
+            }
+        }
+        Err(why) => info!(common.log, "source not reached"; "source" => &to.name, "why" => why),
+    }
+    wire.ended.set(true);
+    let mut lost: Vec<PullNo> = wire.open.borrow_mut().drain().map(|(pull, _)| pull).collect();
+    lost.sort_unstable();
+    for pull in lost {
+        let _ = common.inbox.send(News::Lost { pull }).await;
+    }
+}
+
+async fn connect(common: &Common, to: &Peer) -> Result<Stream, String> {
+    let address: SocketAddr = to.address.parse().map_err(|_| format!("no address: {}", to.address))?;
+    let up = async { Async::<TcpStream>::connect(address).await.map_err(|why| why.to_string()) };
+    let late = async {
+        Timer::after(common.limits.connect).await;
+        Err("not up in time".to_string())
+    };
+    let stream = or(up, late).await?;
+    let _ = stream.get_ref().set_nodelay(true);
+    Ok(stream)
+}
+
+async fn read(common: &Common, wire: &Wire, stream: &Stream, to: &Peer) -> String {
+    let limits = &common.limits;
+    let bounds = Bounds { items: limits.items, item_bytes: limits.body_bytes, item_room: ITEM_ROOM };
+    let mut decoder = Decoder::new(bounds, READ_BUFFER);
+    let mut source = Source::new(stream);
+    loop {
+        let items = match decoder.take() {
+            Ok(Some(items)) => items,
+            Ok(None) => match source.read_into(&mut decoder).await {
+                Ok(0) => return "closed".into(),
+                Ok(_) => {
+                    wire.heard.set(Instant::now());
+                    continue;
+                }
+                Err(why) => return why.to_string(),
+            },
+            Err(fault) => return fault.to_string(),
+        };
+        if items.first().is_some_and(|tag| tag.as_ref() == WHO) {
+            if let Some(own) = items.get(2).and_then(own_name) {
+                let _ = common.inbox.send(News::Named { addressed: to.name.clone(), own }).await;
+            }
+            continue;
+        }
+        let Some(answer) = node::read(&items) else { return "an unreadable answer".into() };
+        let pull = answer.id.number();
+        wire.used.set(Instant::now());
+        if wire.open.borrow_mut().remove(&pull).is_some() {
+            let copy = node::read_copy(&items);
+            let _ = common.inbox.send(News::Answered { pull, answer, copy }).await;
+        }
+    }
+}
+
+fn own_name(list: &bytes::Bytes) -> Option<String> {
+    let name = fields::read(list).find(|(name, _)| *name == b"name").map(|(_, value)| value)?;
+    String::from_utf8(name.to_vec()).ok().filter(|name| peer::is_name(name))
+}
+
+async fn write(wire: Rc<Wire>, stream: Rc<Stream>) -> String {
+    loop {
+        let next = wire.queue.borrow_mut().pop_front();
+        let Some(next) = next else {
+            let wake = wire.wake.listen();
+            if wire.queue.borrow().is_empty() {
+                wake.await;
+            }
+            continue;
+        };
+        wire.used.set(Instant::now());
+        if let Err(why) = write_packets(&stream, &[next.packet], |_| {}).await {
+            return why.to_string();
+        }
+    }
+}
+
+async fn watch(common: &Common, wire: &Wire) -> String {
+    loop {
+        Timer::after(LOOK).await;
+        let oldest = wire.open.borrow().values().min().copied();
+        if oldest.is_some_and(|at| at.max(wire.heard.get()).elapsed() > common.limits.silence) {
+            return "it owes answers and says nothing".into();
+        }
+        if oldest.is_none() && wire.queue.borrow().is_empty() && wire.used.get().elapsed() > IDLE {
+            return "idle".into();
+        }
+    }
+}
--- /dev/null
+++ b/crates/hub/src/start.rs
@@ -0,0 +1,175 @@
+//! What operators set for a hub: one JSON object in one file, checked whole before anything listens.
+use crate::desk::{Bounds, Keeping};
+use bytes::Bytes;
+use harestage::time::Span;
+use harestage_shape::form::ShapeForm;
+use schemars::JsonSchema;
+use serde::{Deserialize, Serialize};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::Duration;
+
+/// The file of a hub.
+#[derive(Clone, Debug, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct HubFile {
+    /// Its name in the shape.
+    pub name: String,
+    /// Address and port for nodes below.
+    pub listen: String,
+    /// Where the control service is; absent: the shape below stays.
+    #[serde(default)]
+    pub control: Option<String>,
+    /// Memory for copies, in megabytes.
+    #[serde(default = "usual_memory")]
+    pub memory_mb: u64,
+    /// Connections from below that are held at once.
+    #[serde(default = "usual_connections")]
+    pub connections: u64,
+    /// Fills under way at once.
+    #[serde(default = "usual_fills")]
+    pub fills: u64,
+    pub contents: Vec<ContentFile>,
+    /// The shape that it starts from, until the service tells another.
+    #[serde(default)]
+    pub shape: Option<ShapeForm>,
+}
+
+/// How copies of a content type are kept.
+#[derive(Clone, Debug, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct ContentFile {
+    pub name: String,
+    /// 0: until they are purged.
+    #[serde(default)]
+    pub fresh_ms: u64,
+    #[serde(default)]
+    pub grace_ms: u64,
+}
+
+fn usual_memory() -> u64 {
+    256
+}
+fn usual_connections() -> u64 {
+    512
+}
+fn usual_fills() -> u64 {
+    4_096
+}
+
+/// A hub that may start.
+#[derive(Clone, Debug)]
+pub struct HubStart {
+    pub name: String,
+    pub listen: SocketAddr,
+    pub control: Option<SocketAddr>,
+    pub contents: HashMap<Bytes, Keeping>,
+    pub shape: Option<ShapeForm>,
+    pub bounds: Bounds,
+    pub limits: Limits,
+}
+
+/// Sizes, counts and times that bound the sockets of a hub.
+#[derive(Clone, Debug)]
+pub struct Limits {
+    pub connections: usize,
+    /// Pulls open on one connection; past it that connection is not read.
+    pub open: usize,
+    /// Bytes waiting on one connection, and on all; past the first it is not read, past the second the fullest ends.
+    pub unsent: usize,
+    pub all_unsent: usize,
+    /// A message that has begun has to end, one that is written has to be taken, and a connection at rest ends.
+    pub message: Duration,
+    pub stall: Duration,
+    pub idle: Duration,
+    pub items: usize,
+    pub body_bytes: usize,
+    pub connect: Duration,
+    /// A source that owes answers and sends no byte for as long is taken for gone.
+    pub silence: Duration,
+    pub inbox: usize,
+    pub line_bytes: usize,
+    pub report_every: Duration,
+    pub control_silence: Duration,
+    pub control_pause: Duration,
+}
+
+impl HubFile {
+    /// Reads a file; an error is one line that names file, key and value.
+    pub fn read(path: &Path) -> Result<HubFile, String> {
+        let file = path.display();
+        let text = std::fs::read(path).map_err(|why| format!("{file}: can't be read: {why}"))?;
+        let mut json = serde_json::Deserializer::from_slice(&text);
+        let read: HubFile = serde_path_to_error::deserialize(&mut json)
+            .map_err(|why| format!("{file}: key {}: {}", why.path(), why.inner()))?;
+        json.end().map_err(|why| format!("{file}: {why}"))?;
+        Ok(read)
+    }
+
+    pub fn checked(self) -> Result<HubStart, String> {
+        let address = |key: &str, text: &str| {
+            text.parse::<SocketAddr>()
+                .map_err(|_| format!("key {key}: {text:?} is not an address with a port"))
+        };
+        if !harestage_wire::peer::is_name(&self.name) {
+            return Err(format!(
+                "key name: {:?} is not a name of letters, digits, dots and dashes",
+                self.name
+            ));
+        }
+        let within = |key: &str, value: u64, most: u64| {
+            let good = (1..=most).contains(&value);
+            good.then_some(value as usize).ok_or(format!("key {key}: {value} is not from 1 to {most}"))
+        };
+        let memory = within("memory_mb", self.memory_mb, 1 << 20)? << 20;
+        let contents = self.contents.iter().map(|content| {
+            let fresh = (content.fresh_ms > 0).then(|| Span::millis(content.fresh_ms));
+            let keeping = Keeping { fresh, grace: Span::millis(content.grace_ms) };
+            (Bytes::from(content.name.clone().into_bytes()), keeping)
+        });
+        let fills = within("fills", self.fills, 1 << 20)?;
+        let bounds = Bounds { store_bytes: memory, fills, waiters: fills * 8 };
+        Ok(HubStart {
+            listen: address("listen", &self.listen)?,
+            control: self.control.as_deref().map(|text| address("control", text)).transpose()?,
+            contents: contents.collect(),
+            shape: self.shape,
+            bounds,
+            limits: Limits::new(within("connections", self.connections, 65_536)?, memory),
+            name: self.name,
+        })
+    }
+}
+
+impl Limits {
+    /// The bodies that the platform's protocol allows, at most.
+    const BODY: usize = 240_000;
+
+    fn new(connections: usize, memory: usize) -> Limits {
+        Limits {
+            connections,
+            open: 512,
+            unsent: 8 * Self::BODY,
+            all_unsent: (memory / 4).max(16 * Self::BODY),
+            message: Duration::from_secs(2),
+            stall: Duration::from_secs(6),
+            idle: Duration::from_secs(60),
+            items: 8,
+            body_bytes: Self::BODY,
+            connect: Duration::from_millis(400),
+            silence: Duration::from_millis(2_500),
+            inbox: 256,
+            line_bytes: 8 << 20,
+            report_every: Duration::from_millis(200),
+            control_silence: Duration::from_secs(3),
+            control_pause: Duration::from_millis(250),
+        }
+    }
+}
+
+/// The JSON schema of a hub's file.
+pub fn schema() -> String {
+    let schema = schemars::schema_for!(HubFile);
+    serde_json::to_string_pretty(&schema).unwrap_or_default() + "\n"
+}
--- a/crates/router/src/program/mod.rs
+++ b/crates/router/src/program/mod.rs
@@ -3,7 +3,6 @@
 pub mod limits;
 pub mod log;
 
-use crate::routing::clock::Clock;
 use crate::routing::{News, Routing, Terms, task};
 use crate::transport::{Outside, client, feed, node};
 use async_executor::LocalExecutor;
@@ -12,6 +11,7 @@
 use config::Start;
 use futures_lite::StreamExt;
 use futures_lite::future::or;
+use harestage_sockets::clock::Clock;
 use limits::Limits;
 use slog::{Logger, info, warn};
 use std::net::TcpListener;
--- a/crates/router/src/routing/mod.rs
+++ b/crates/router/src/routing/mod.rs
@@ -1,6 +1,5 @@
 //! The one owner of the core. What happens outside comes in as `News`, what the core orders goes out through
 //! `Outward`; time-outs, deadlines and the register of what is open are kept here. Nothing here decides.
-pub mod clock;
 pub mod nodes;
 pub mod task;
 
@@ -9,6 +8,7 @@
 use harestage::state::*;
 use harestage::time::{Moment, Span};
 use harestage_profile::{Kinds, Outside};
+use harestage_sockets::clock;
 use harestage_wire::client::{ToClient, Wish};
 use harestage_wire::feed::Told;
 use harestage_wire::node::{Answer, Request, Word};
--- a/crates/router/src/routing/nodes.rs
+++ b/crates/router/src/routing/nodes.rs
@@ -1,9 +1,9 @@
 //! Names and addresses of caches, parents and the origin, as the feed tells them.
-use super::clock::unix_ms;
 use harestage::door::Register;
 use harestage::state::{Listing, NodeIx, Phase, Role};
 use harestage::time::{Moment, Span};
 use harestage_profile::{Kinds, Outside};
+use harestage_sockets::clock::unix_ms;
 use harestage_wire::feed::{Member, MemberState};
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::hash::{DefaultHasher, Hash, Hasher};
--- a/crates/router/src/routing/task.rs
+++ b/crates/router/src/routing/task.rs
@@ -1,10 +1,10 @@
 //! Runs a `Routing` on the real clock: one queue in, one turn for all that has come.
-use super::clock::Clock;
 use super::{News, Outward, Routing};
 use async_channel::Receiver;
 use async_io::Timer;
 use futures_lite::future::or;
 use harestage::time::Moment;
+use harestage_sockets::clock::Clock;
 
 pub async fn run(
     mut routing: Routing,
--- a/crates/router/src/transport/client.rs
+++ b/crates/router/src/transport/client.rs
@@ -3,12 +3,12 @@
 //! be held, the one that is needed least.
 use super::{Source, Stream, write_packets};
 use crate::program::limits::Limits;
-use crate::routing::clock::Clock;
 use crate::routing::{ClientNo, News};
 use async_channel::Sender;
 use async_io::{Async, Timer};
 use event_listener::Event;
 use futures_lite::future::or;
+use harestage_sockets::clock::Clock;
 use harestage_wire::Packet;
 use harestage_wire::client::{self, FromClient, ToClient};
 use harestage_wire::resp::{Bounds, Decoder};
--- /dev/null
+++ b/crates/shape/src/check.rs
@@ -0,0 +1,368 @@
+//! Whether a version holds: no loop, everyone with a way to the archive, and nobody asked for more than it carries,
+//! also after the loss of any one hub. A version is taken whole or refused whole, with every complaint said.
+use crate::tree::{ARCHIVE, Place, PlaceIx, Shape};
+use std::collections::BTreeMap;
+use std::fmt;
+
+/// What is wrong with a version. Each names the place, and the tie where there is one.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Complaint {
+    Doubled {
+        place: String,
+    },
+    Unknown {
+        place: String,
+        tie: String,
+    },
+    DoubledTie {
+        place: String,
+        tie: String,
+    },
+    ToBranch {
+        place: String,
+        tie: String,
+    },
+    /// The whole way round; the first is tied to the second, and the last to the first.
+    Loop {
+        path: Vec<String>,
+    },
+    NoWay {
+        place: String,
+    },
+    /// Tied to the archive and to a hub: its objects would have two homes.
+    MixedTies {
+        place: String,
+        tie: String,
+    },
+    Overload {
+        place: String,
+        asked: f64,
+        carries: f64,
+    },
+    OverloadAfterLoss {
+        place: String,
+        lost: String,
+        asked: f64,
+        carries: f64,
+    },
+}
+
+impl fmt::Display for Complaint {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        match self {
+            Self::Doubled { place } => write!(f, "{place}: named twice"),
+            Self::Unknown { place, tie } => write!(f, "{place}: tied to {tie}, which is unknown"),
+            Self::DoubledTie { place, tie } => write!(f, "{place}: tied to {tie} twice"),
+            Self::ToBranch { place, tie } => write!(f, "{place}: tied to {tie}, which is a branch"),
+            Self::Loop { path } => {
+                let first = path.first().map_or("", String::as_str);
+                write!(f, "loop: {} -> {first}", path.join(" -> "))
+            }
+            Self::NoWay { place } => write!(f, "{place}: no way to the archive"),
+            Self::MixedTies { place, tie } => write!(f, "{place}: tied to the archive and to hub {tie}"),
+            Self::Overload { place, asked, carries } => {
+                write!(f, "{place}: asked for {asked:.1} fills a second and carries {carries:.1}")
+            }
+            Self::OverloadAfterLoss { place, lost, asked, carries } => {
+                write!(f, "{place}: after the loss of {lost} asked for {asked:.1} and carries {carries:.1}")
+            }
+        }
+    }
+}
+
+/// Fills a second that each place is asked for, by its index.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Loads(BTreeMap<PlaceIx, f64>);
+
+impl Loads {
+    pub fn of(&self, place: PlaceIx) -> f64 {
+        self.0.get(&place).copied().unwrap_or(0.0)
+    }
+
+    fn add(&mut self, place: PlaceIx, load: f64) {
+        *self.0.entry(place).or_insert(0.0) += load;
+    }
+}
+
+/// Checks a version whole. The loads come back with it, so that nobody works them out twice.
+pub fn check(shape: &Shape) -> Result<Loads, Vec<Complaint>> {
+    let mut wrong = mixed(shape);
+    let order = match climb(shape) {
+        Ok(order) => order,
+        Err(loops) => {
+            wrong.extend(loops);
+            return Err(wrong);
+        }
+    };
+    wrong.extend(no_way(shape, &order));
+    if !wrong.is_empty() {
+        return Err(wrong);
+    }
+    let flow = Flow::of(shape, &order);
+    wrong.extend(flow.overloads());
+    wrong.extend(flow.overloads_after_losses());
+    if wrong.is_empty() { Ok(flow.loads()) } else { Err(wrong) }
+}
+
+/// Loads of a version that is known to hold, without looking for what any loss would do.
+pub fn loads(shape: &Shape) -> Option<Loads> {
+    let order = climb(shape).ok()?;
+    Some(Flow::of(shape, &order).loads())
+}
+
+/// Whether a version has a loop, and nothing else: what a step on the way from one version to another must not have.
+pub fn loops(shape: &Shape) -> Vec<Complaint> {
+    climb(shape).err().unwrap_or_default()
+}
+
+fn mixed(shape: &Shape) -> Vec<Complaint> {
+    let tops = shape.tops().iter();
+    let other = |top: &PlaceIx| {
+        let tie = shape.ties(*top).iter().find(|tie| **tie != ARCHIVE)?;
+        Some(Complaint::MixedTies { place: shape.name(*top).into(), tie: shape.name(*tie).into() })
+    };
+    tops.filter_map(other).collect()
+}
+
+/// All places, each before those that it is tied to; or every loop, once.
+fn climb(shape: &Shape) -> Result<Vec<PlaceIx>, Vec<Complaint>> {
+    let mut climber =
+        Climber { shape, mark: BTreeMap::new(), path: Vec::new(), done: Vec::new(), loops: Vec::new() };
+    shape.places().for_each(|(at, _)| climber.from(at));
+    climber.done.reverse();
+    if climber.loops.is_empty() { Ok(climber.done) } else { Err(climber.loops) }
+}
+
+#[derive(Clone, Copy, PartialEq)]
+enum Mark {
+    OnPath,
+    Done,
+}
+
+struct Climber<'a> {
+    shape: &'a Shape,
+    mark: BTreeMap<PlaceIx, Mark>,
+    /// The way from where it began, each with the number of its ties that were looked at.
+    path: Vec<(PlaceIx, usize)>,
+    done: Vec<PlaceIx>,
+    loops: Vec<Complaint>,
+}
+
+impl Climber<'_> {
+    /// By a stack of its own: a chain of ten thousand hubs must not end the program.
+    fn from(&mut self, start: PlaceIx) {
+        if self.mark.contains_key(&start) {
+            return;
+        }
+        self.enter(start);
+        while let Some((at, seen)) = self.path.last_mut() {
+            let (at, tie) = (*at, self.shape.ties(*at).get(*seen).copied());
+            *seen += 1;
+            match tie {
+                None => {
+                    self.path.pop();
+                    self.mark.insert(at, Mark::Done);
+                    self.done.push(at);
+                }
+                Some(tie) => match self.mark.get(&tie) {
+                    None => self.enter(tie),
+                    Some(Mark::OnPath) => self.found(tie),
+                    Some(Mark::Done) => {}
+                },
+            }
+        }
+    }
+
+    fn enter(&mut self, at: PlaceIx) {
+        self.mark.insert(at, Mark::OnPath);
+        self.path.push((at, 0));
+    }
+
+    fn found(&mut self, tie: PlaceIx) {
+        let from = self.path.iter().position(|(at, _)| *at == tie).unwrap_or(0);
+        let path = self.path[from..].iter().map(|(at, _)| self.shape.name(*at).to_string()).collect();
+        self.loops.push(Complaint::Loop { path });
+    }
+}
+
+fn no_way(shape: &Shape, order: &[PlaceIx]) -> Vec<Complaint> {
+    let mut reaches: BTreeMap<PlaceIx, bool> = BTreeMap::new();
+    let mut wrong = Vec::new();
+    for at in order.iter().rev() {
+        let on = |tie: &PlaceIx| reaches.get(tie).copied().unwrap_or(false);
+        let reached = *at == ARCHIVE || shape.ties(*at).iter().any(on);
+        reaches.insert(*at, reached);
+        // A hub that nobody is tied to, and that is tied to nothing, only waits for its first tie.
+        let unused = shape.ties(*at).is_empty() && shape.place(*at).is_some_and(|p| p.hub().is_some());
+        if !reached && !unused {
+            wrong.push(Complaint::NoWay { place: shape.name(*at).into() });
+        }
+    }
+    wrong.reverse();
+    wrong
+}
+
+/// The flow of fills through a version. Each place spreads what it asks for evenly over its ties, since objects are
+/// hashed over them; hubs at the top ask each other, each object its home, and homes ask the archive.
+struct Flow<'a> {
+    shape: &'a Shape,
+    /// Where each place stands in the order, below before above.
+    rank: BTreeMap<PlaceIx, usize>,
+    /// Who asks a place.
+    below: BTreeMap<PlaceIx, Vec<PlaceIx>>,
+    /// Asked from below, without what hubs at the top ask of each other.
+    asked: BTreeMap<PlaceIx, f64>,
+}
+
+/// What hubs at the top ask of each other, and of the archive.
+struct Top {
+    sideways: BTreeMap<PlaceIx, f64>,
+    archive: f64,
+}
+
+impl<'a> Flow<'a> {
+    fn of(shape: &'a Shape, order: &[PlaceIx]) -> Flow<'a> {
+        let rank = order.iter().enumerate().map(|(n, at)| (*at, n)).collect();
+        let mut below: BTreeMap<PlaceIx, Vec<PlaceIx>> = BTreeMap::new();
+        for at in order {
+            shape.ties(*at).iter().for_each(|tie| below.entry(*tie).or_default().push(*at));
+        }
+        let mut flow = Flow { shape, rank, below, asked: BTreeMap::new() };
+        for at in order {
+            let passes = flow.passes(*at, flow.asked.get(at).copied().unwrap_or(0.0));
+            flow.spread(*at, passes)
+                .into_iter()
+                .for_each(|(to, load)| *flow.asked.entry(to).or_insert(0.0) += load);
+        }
+        flow
+    }
+
+    /// What a place that is asked for so much asks for itself.
+    fn passes(&self, at: PlaceIx, asked: f64) -> f64 {
+        match self.shape.place(at) {
+            Some(Place::Branch(branch)) => branch.load,
+            Some(Place::Hub(hub)) => asked * hub.passes,
+            _ => 0.0,
+        }
+    }
+
+    /// Over its ties but the archive, which is reckoned for all at the top together.
+    fn spread(&self, at: PlaceIx, load: f64) -> Vec<(PlaceIx, f64)> {
+        let ties = self.shape.ties(at);
+        if ties.is_empty() || ties.contains(&ARCHIVE) {
+            return Vec::new();
+        }
+        ties.iter().map(|tie| (*tie, load / ties.len() as f64)).collect()
+    }
+
+    fn top(&self, lost: Option<PlaceIx>, asked: impl Fn(PlaceIx) -> f64, cut_off: f64) -> Top {
+        let left: Vec<PlaceIx> = self.shape.tops().iter().copied().filter(|top| Some(*top) != lost).collect();
+        let homes = left.len().max(1) as f64;
+        let passes: Vec<f64> = left.iter().map(|top| self.passes(*top, asked(*top))).collect();
+        let all: f64 = passes.iter().sum();
+        let mut top = Top { sideways: BTreeMap::new(), archive: cut_off };
+        for (at, own) in left.iter().zip(&passes) {
+            let sideways = (all - own) / homes;
+            top.sideways.insert(*at, sideways);
+            top.archive += own / homes + self.passes(*at, sideways);
+        }
+        top
+    }
+
+    fn loads(&self) -> Loads {
+        let mut loads = Loads(self.asked.clone());
+        let top = self.top(None, |at| self.asked.get(&at).copied().unwrap_or(0.0), self.direct());
+        top.sideways.iter().for_each(|(at, load)| loads.add(*at, *load));
+        loads.0.insert(ARCHIVE, top.archive);
+        loads
+    }
+
+    /// Branches that are tied to the archive itself.
+    fn direct(&self) -> f64 {
+        let below = self.below.get(&ARCHIVE).into_iter().flatten();
+        let branches = below.filter_map(|at| match self.shape.place(*at) {
+            Some(Place::Branch(branch)) => Some(branch.load / self.shape.ties(*at).len() as f64),
+            _ => None,
+        });
+        branches.sum()
+    }
+
+    fn carries(&self, at: PlaceIx) -> f64 {
+        match self.shape.place(at) {
+            Some(Place::Hub(hub)) => hub.capacity,
+            // Between its capacity and its stopping point it only slows down; an outage is allowed to use that.
+            Some(Place::Archive(archive)) => archive.capacity,
+            _ => f64::INFINITY,
+        }
+    }
+
+    fn overloads(&self) -> Vec<Complaint> {
+        let loads = self.loads();
+        let over = loads.0.iter().filter(|(at, asked)| **asked > self.carries(**at) * (1.0 + 1e-9));
+        let complaint = |(at, asked): (&PlaceIx, &f64)| Complaint::Overload {
+            place: self.shape.name(*at).into(),
+            asked: *asked,
+            carries: self.carries(*at),
+        };
+        over.map(complaint).collect()
+    }
+
+    /// One loss after another, each by what it changes: the hubs above those that asked the lost one.
+    fn overloads_after_losses(&self) -> Vec<Complaint> {
+        let mut wrong = Vec::new();
+        for (lost, _) in self.shape.hubs() {
+            let (changed, archive) = self.after_loss(lost);
+            let archive = (ARCHIVE, archive);
+            let limit = |at: PlaceIx| match self.shape.place(at) {
+                Some(Place::Archive(archive)) => archive.capacity * archive.stops_at * 0.8,
+                _ => self.carries(at),
+            };
+            for (at, asked) in changed.into_iter().chain([archive]) {
+                if asked > limit(at) * (1.0 + 1e-9) {
+                    let (place, lost) = (self.shape.name(at).into(), self.shape.name(lost).into());
+                    wrong.push(Complaint::OverloadAfterLoss { place, lost, asked, carries: limit(at) });
+                }
+            }
+        }
+        wrong
+    }
+
+    /// What places whose load differs are asked for once `lost` is gone, and what the archive is.
+    fn after_loss(&self, lost: PlaceIx) -> (Vec<(PlaceIx, f64)>, f64) {
+        let mut more: BTreeMap<PlaceIx, f64> = BTreeMap::new();
+        let mut due: BTreeMap<usize, PlaceIx> = BTreeMap::new();
+        let mut cut_off = self.direct();
+        let asked = |at: PlaceIx| self.asked.get(&at).copied().unwrap_or(0.0);
+        let give = |more: &mut BTreeMap<PlaceIx, f64>, due: &mut BTreeMap<usize, PlaceIx>, to, load: f64| {
+            *more.entry(to).or_insert(0.0) += load;
+            due.insert(self.rank[&to], to);
+        };
+        for child in self.below.get(&lost).into_iter().flatten() {
+            let load = self.passes(*child, asked(*child));
+            let others: Vec<_> = self.shape.ties(*child).iter().filter(|tie| **tie != lost).collect();
+            let part = load / self.shape.ties(*child).len() as f64;
+            if others.is_empty() {
+                cut_off += part;
+            }
+            others.iter().for_each(|tie| give(&mut more, &mut due, **tie, part / others.len() as f64));
+        }
+        // What the lost hub passed on, it passes on no more.
+        for (to, load) in self.spread(lost, self.passes(lost, asked(lost))) {
+            give(&mut more, &mut due, to, -load);
+        }
+        while let Some((_, at)) = due.pop_first() {
+            let passes = match self.shape.place(at) {
+                Some(Place::Hub(hub)) => more[&at] * hub.passes,
+                _ => 0.0,
+            };
+            self.spread(at, passes).into_iter().for_each(|(to, load)| give(&mut more, &mut due, to, load));
+        }
+        let now = |at: PlaceIx| (asked(at) + more.get(&at).copied().unwrap_or(0.0)).max(0.0);
+        let top = self.top(Some(lost), now, cut_off);
+        let mut changed: Vec<_> =
+            more.keys().filter(|at| !top.sideways.contains_key(at)).map(|at| (*at, now(*at))).collect();
+        changed.extend(top.sideways.iter().map(|(at, sideways)| (*at, now(*at) + sideways)));
+        changed.retain(|(at, _)| *at != lost && *at != ARCHIVE);
+        (changed, top.archive)
+    }
+}
--- /dev/null
+++ b/crates/shape/src/lines.rs
@@ -0,0 +1,76 @@
+//! What members, operators and the control service write to each other: one JSON object a line. A member's first line
+//! is `SUB N NAME`, with the number of the last version that it has; an operator's is a `Call`.
+use crate::control::{Report, Said, Status};
+use crate::form::ShapeForm;
+use crate::parts::Part;
+use crate::plan::Plan;
+use serde::{Deserialize, Serialize};
+
+/// To a member. A term that is older than one it has heard comes from a service that was replaced.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum ToMember {
+    /// A whole version, without branches: hubs need none of them.
+    Version { term: u64, shape: Box<ShapeForm> },
+    /// The answer to a report of a hub at the top.
+    Part(Part),
+    /// The answer to the report of any other: the number of the newest version.
+    Beat { term: u64, last: u64 },
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum FromMember {
+    Report(Report),
+}
+
+/// What an operator asks for.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Call {
+    Status,
+    /// The shape as it is.
+    Shape,
+    /// The steps that a change would take, without taking any.
+    Plan {
+        form: Box<ShapeForm>,
+    },
+    Apply {
+        form: Box<ShapeForm>,
+        expect: Option<u64>,
+        by: String,
+    },
+    /// Everything that is said of a change from now on.
+    Watch,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Answer {
+    Status(Box<Status>),
+    Shape(Box<ShapeForm>),
+    Plan(Box<Plan>),
+    Said(Said),
+    /// Each line says one thing that is wrong.
+    Refused(Vec<String>),
+}
+
+/// The first line of a member.
+pub fn subscribe(last: u64, name: &str) -> String {
+    format!("SUB {last} {name}\n")
+}
+
+/// The number and name of a member's first line; none for anything else.
+pub fn read_subscribe(line: &str) -> Option<(u64, &str)> {
+    let (last, name) = line.strip_prefix("SUB ")?.split_once(' ')?;
+    let plain = |b: u8| b.is_ascii_alphanumeric() || matches!(b, b'-' | b'_' | b'.');
+    let good = (1..=32).contains(&name.len()) && name.bytes().all(plain);
+    Some((last.parse().ok()?, name)).filter(|_| good)
+}
+
+/// One line, with its end.
+pub fn line(what: &impl Serialize) -> Vec<u8> {
+    let mut text = serde_json::to_vec(what).unwrap_or_default();
+    text.push(b'\n');
+    text
+}
--- /dev/null
+++ b/crates/shape/src/parts.rs
@@ -0,0 +1,221 @@
+//! The archive's gate: hubs share a bound below its stopping point.
+//!
+//! The control service gives each hub at the top a part, in fetches a second, for a term. What it has given out, it
+//! takes for used until the term is over or the hub has taken a smaller part instead, so that old and new parts never
+//! add up to more than the whole, whoever dies and whatever is lost on the way. A hub counts its term from when it
+//! asked, the service from when it answered: the hub's ends first.
+//!
+//! Part of the whole is not given out: each hub keeps a floor from it when its term has run out, since a hub that
+//! the service can't reach still has branches to serve.
+use harestage::time::{Moment, Span};
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+
+/// How long a part is good.
+pub const TERM: Span = Span::millis(2_000);
+/// Of the stopping point, what is given out at most: the rest is for what hubs that are cut off ask, for writes, and
+/// for what was under way when a part ended.
+const GIVEN_OUT: f64 = 0.6;
+/// Of the stopping point, what all floors together come to.
+const FLOORS: f64 = 0.15;
+/// A hub that asked for little gets this much more than it asked, so that its want can grow.
+const HEADROOM: f64 = 1.5;
+const LEAST_WANT: f64 = 1.0;
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+struct Given {
+    rate: f64,
+    until: Moment,
+    number: u64,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Member {
+    wants: f64,
+    heard: Moment,
+    /// Parts that may still be in use; the last is the one in force.
+    given: Vec<Given>,
+}
+
+/// What a hub is told.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Part {
+    /// Fetches a second.
+    pub rate: f64,
+    /// What it may use without any part.
+    pub floor: f64,
+    /// Counts up with each part: an older one that comes late is passed over.
+    pub number: u64,
+}
+
+/// The service's side.
+pub struct Sharing {
+    /// Fetches a second at which the archive stops.
+    stopping: f64,
+    members: BTreeMap<String, Member>,
+    number: u64,
+}
+
+impl Sharing {
+    pub fn new(stopping: f64) -> Sharing {
+        Sharing { stopping, members: BTreeMap::new(), number: 0 }
+    }
+
+    /// The archive's figures have changed. What was given out stays until its term ends.
+    pub fn set_stopping(&mut self, stopping: f64) {
+        self.stopping = stopping;
+    }
+
+    /// After a start the service does not know what its forerunner gave out: nothing is free until that has ended.
+    pub fn begin_after(&mut self, members: impl Iterator<Item = String>, now: Moment) {
+        let until = now + TERM;
+        let names: Vec<String> = members.collect();
+        let rate = self.stopping * GIVEN_OUT / names.len().max(1) as f64;
+        for name in names {
+            let given = vec![Given { rate, until, number: u64::MAX }];
+            self.members.insert(name, Member { wants: 0.0, heard: now, given });
+        }
+    }
+
+    /// A hub says what it would use, in fetches a second, and which part it has taken in, and gets its part. `most`
+    /// is how many hubs may be at the top, for their floors.
+    pub fn ask(&mut self, hub: &str, wants: f64, taken: u64, most: usize, now: Moment) -> Part {
+        self.tidy(now);
+        let member = self.members.entry(hub.into()).or_default();
+        member.wants = if wants.is_finite() { wants.max(0.0) } else { 0.0 };
+        member.heard = now;
+        // An answer may have been lost, and the part before it still be in use: only what the hub has taken in since
+        // proves that an older one is not. What a forerunner gave out has no number, and ends with its term.
+        member.given.retain(|given| given.number >= taken);
+        let fair = self.fair(hub);
+        let others: f64 = self.members.iter().filter(|(name, _)| *name != hub).map(|(_, m)| m.in_use()).sum();
+        let free = (self.stopping * GIVEN_OUT - others).max(0.0);
+        let rate = fair.min(free);
+        self.number += 1;
+        let floor = self.stopping * FLOORS / most.max(1) as f64;
+        if let Some(member) = self.members.get_mut(hub) {
+            member.given.push(Given { rate, until: now + TERM, number: self.number });
+        }
+        Part { rate, floor, number: self.number }
+    }
+
+    /// Max-min fair: who wants less than an equal part gets what it wants, and the others share what that leaves.
+    fn fair(&self, hub: &str) -> f64 {
+        let want = |m: &Member| (m.wants * HEADROOM).max(LEAST_WANT);
+        let mut wants: Vec<(f64, &str)> =
+            self.members.iter().map(|(name, m)| (want(m), name.as_str())).collect();
+        wants.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(b.1)));
+        let (mut left, mut heads) = (self.stopping * GIVEN_OUT, wants.len());
+        for (want, name) in wants {
+            let part = want.min(left / heads as f64);
+            if name == hub {
+                return part;
+            }
+            left -= part;
+            heads -= 1;
+        }
+        0.0
+    }
+
+    fn tidy(&mut self, now: Moment) {
+        self.members.retain(|_, member| {
+            member.given.retain(|given| given.until > now);
+            !member.given.is_empty() || now.since(member.heard) < TERM
+        });
+    }
+
+    /// All that may be in use now.
+    pub fn given_out(&self, now: Moment) -> f64 {
+        let alive = |m: &Member| Member {
+            given: m.given.iter().filter(|g| g.until > now).copied().collect(),
+            ..m.clone()
+        };
+        self.members.values().map(|m| alive(m).in_use()).sum()
+    }
+
+    pub fn whole(&self) -> f64 {
+        self.stopping * GIVEN_OUT
+    }
+}
+
+impl Member {
+    /// One of its parts at a time, and nobody knows which.
+    fn in_use(&self) -> f64 {
+        self.given.iter().map(|given| given.rate).fold(0.0, f64::max)
+    }
+}
+
+/// Fetches that a hub may begin at once after a rest, in seconds of its part.
+const BURST: f64 = 0.25;
+/// A floor of its own before any word from the service: the service may be away when a hub starts.
+const UNTOLD: f64 = 1.0;
+
+/// The hub's side: a bucket that fills at the rate of its part.
+pub struct Share {
+    part: Part,
+    until: Moment,
+    tokens: f64,
+    filled: Moment,
+    /// Fetches that it would have begun since it last asked.
+    wanted: f64,
+    asked: Moment,
+}
+
+impl Share {
+    pub fn new(now: Moment) -> Share {
+        let part = Part { rate: 0.0, floor: UNTOLD, number: 0 };
+        Share { part, until: now, tokens: 1.0, filled: now, wanted: 0.0, asked: now }
+    }
+
+    /// What to ask the service for: fetches a second wanted since the last time, and the number of the part that was
+    /// taken in last.
+    pub fn ask(&mut self, now: Moment) -> (f64, u64) {
+        let seconds = now.since(self.asked).seconds().max(0.05);
+        let wants = self.wanted / seconds;
+        (self.wanted, self.asked) = (0.0, now);
+        (wants, self.part.number)
+    }
+
+    pub fn told(&mut self, part: Part, asked: Moment, now: Moment) {
+        if part.number > self.part.number {
+            self.fill(now);
+            (self.part, self.until) = (part, asked + TERM);
+        }
+    }
+
+    fn rate(&self, at: Moment) -> f64 {
+        if at < self.until { self.part.rate.max(self.part.floor) } else { self.part.floor }
+    }
+
+    fn fill(&mut self, now: Moment) {
+        // Each stretch at its own rate: a part that has ended meanwhile must not be counted on to now.
+        let split = self.until.clamp(self.filled, now.max(self.filled));
+        let with_part = split.since(self.filled).seconds() * self.rate(self.filled);
+        let after = now.since(split).seconds() * self.part.floor;
+        let most = (self.rate(now) * BURST).max(1.0);
+        self.tokens = (self.tokens + with_part + after).min(most);
+        self.filled = now;
+    }
+
+    /// Whether a fetch may begin now. A want that is turned down counts as wanted all the same.
+    pub fn lets(&mut self, now: Moment) -> bool {
+        self.wanted += 1.0;
+        self.again(now)
+    }
+
+    /// The same for one that was turned down before, and is counted already.
+    pub fn again(&mut self, now: Moment) -> bool {
+        self.fill(now);
+        let lets = self.tokens >= 1.0;
+        if lets {
+            self.tokens -= 1.0;
+        }
+        lets
+    }
+
+    /// When the next fetch may begin.
+    pub fn next(&self, now: Moment) -> Moment {
+        let lacks = (1.0 - self.tokens).max(0.0);
+        now + Span::of_seconds(lacks / self.rate(now).max(0.01)) + Span::millis(1)
+    }
+}
--- /dev/null
+++ b/crates/shape/src/run.rs
@@ -0,0 +1,276 @@
+//! Runs a plan: one step after another, each only while what is seen is well. Every move of the runner is a record
+//! first, so that whoever runs on after a death goes on where this one stood; a step that goes out a second time says
+//! the same, since it names the ties that a place has, and not what changes.
+use crate::plan::{Plan, SETTLES, Step};
+use harestage::time::{Moment, Span};
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+
+/// Of the archive's stopping point: past the first no step goes out, past the second one is undone.
+const ARCHIVE_HOLDS: f64 = 0.7;
+const ARCHIVE_UNDOES: f64 = 0.85;
+/// Times a hub's usual time to the first byte.
+const HUB_HOLDS: f64 = 3.0;
+const HUB_UNDOES: f64 = 8.0;
+/// What is past its mark for as long undoes the step that went out last; shorter peaks only hold the next.
+const BAD_FOR: Span = Span::millis(800);
+/// A member that has heard nothing of a step for as long is passed over; a place of the step itself undoes it.
+const ANSWERS_WITHIN: Span = Span::millis(3_000);
+/// After a step was undone. The next try also waits twice as long after each step.
+const RESTS: Span = Span::millis(2_000);
+/// Times that steps are undone before the change is given up where it stands.
+const MOST_UNDONE: u32 = 3;
+
+/// What is written down before it is done.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Stage {
+    /// Step `step` goes out as `version`.
+    Out {
+        step: usize,
+        version: u64,
+    },
+    /// It is seen to be well.
+    Settled {
+        step: usize,
+    },
+    /// The shape of the step before goes out as `version`.
+    Undone {
+        step: usize,
+        version: u64,
+        why: String,
+    },
+    Ended {
+        complete: bool,
+    },
+}
+
+/// What a member was last heard to say.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Heard {
+    pub version: u64,
+    pub at: Moment,
+    /// Time to the first byte against its usual one; 1 is usual.
+    pub slowness: f64,
+    /// Fetches a second at the archive.
+    pub fetches: f64,
+}
+
+/// What the runner looks at.
+pub struct View<'a> {
+    pub members: &'a BTreeMap<String, Heard>,
+    /// Fetches a second at which the archive stops.
+    pub stopping: f64,
+    /// How old each hub is that has started lately; hubs that are not in it are warm.
+    pub ages: &'a BTreeMap<String, Span>,
+}
+
+/// Why no step goes out just now.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Hold {
+    Settling,
+    Resting,
+    TooYoung { hub: String, age: Span, needed: Span },
+    ArchiveBusy { share: f64 },
+    HubSlow { hub: String, slowness: f64 },
+    Unheard { place: String },
+    NotYet,
+}
+
+impl std::fmt::Display for Hold {
+    fn fmt(&self, f: &mut std::fmt::Formatter) -> std::fmt::Result {
+        match self {
+            Self::Settling => write!(f, "the step before settles"),
+            Self::Resting => write!(f, "resting after an undone step"),
+            Self::TooYoung { hub, age, needed } => {
+                write!(f, "{hub} is {:.1} s old and has to be {:.1} s", age.seconds(), needed.seconds())
+            }
+            Self::ArchiveBusy { share } => write!(f, "the archive is asked {share:.2} of its stopping point"),
+            Self::HubSlow { hub, slowness } => write!(f, "{hub} is {slowness:.1} times slower than usual"),
+            Self::Unheard { place } => write!(f, "{place} has not said that it follows"),
+            Self::NotYet => write!(f, "planned for later"),
+        }
+    }
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Turn {
+    /// To be written down, and then done.
+    Do(Stage),
+    Hold(Hold),
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum At {
+    /// Nothing is out that has not settled.
+    Between {
+        since: Moment,
+        rest: Span,
+    },
+    Out {
+        step: usize,
+        version: u64,
+        since: Moment,
+        bad_since: Option<Moment>,
+    },
+    Ended,
+}
+
+/// The runner of one plan.
+#[derive(Clone, Debug)]
+pub struct Runner {
+    pub plan: Plan,
+    begun: Moment,
+    /// Steps that have gone out, whether they have settled or not.
+    done: usize,
+    undone: u32,
+    at: At,
+    version: u64,
+}
+
+impl Runner {
+    pub fn begin(plan: Plan, version: u64, now: Moment) -> Runner {
+        Runner {
+            plan,
+            begun: now,
+            done: 0,
+            undone: 0,
+            at: At::Between { since: now, rest: Span::ZERO },
+            version,
+        }
+    }
+
+    /// Takes in a stage: one that was just written down, or all of a forerunner's after its death.
+    pub fn enter(&mut self, stage: &Stage, now: Moment) {
+        match stage {
+            Stage::Out { step, version } => {
+                (self.done, self.version) = (*step, *version);
+                self.at = At::Out { step: *step, version: *version, since: now, bad_since: None };
+            }
+            Stage::Settled { .. } => self.at = At::Between { since: now, rest: Span::ZERO },
+            Stage::Undone { step, version, .. } => {
+                (self.done, self.version) = (*step - 1, *version);
+                self.undone += 1;
+                self.at = At::Between { since: now, rest: RESTS };
+            }
+            Stage::Ended { .. } => self.at = At::Ended,
+        }
+    }
+
+    pub fn done(&self) -> usize {
+        self.done
+    }
+
+    pub fn undone(&self) -> u32 {
+        self.undone
+    }
+
+    pub fn is_over(&self) -> bool {
+        self.at == At::Ended
+    }
+
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// What to do now. Calls for the same moment and view say the same, until the stage is entered.
+    pub fn turn(&self, view: &View, now: Moment) -> Turn {
+        match self.at {
+            At::Ended => Turn::Hold(Hold::NotYet),
+            At::Out { step, version, since, .. } => self.watch(step, version, since, view, now),
+            At::Between { since, rest } => self.go_on(since, rest, view, now),
+        }
+    }
+
+    /// A peak has to last before it undoes anything: the runner notes since when it is seen.
+    pub fn look(&mut self, view: &View, now: Moment) {
+        let bad = self.undoes(view).is_some();
+        if let At::Out { bad_since, .. } = &mut self.at {
+            *bad_since = if bad { bad_since.or(Some(now)) } else { None };
+        }
+    }
+
+    fn slower(&self) -> f64 {
+        2f64.powi(self.undone as i32)
+    }
+
+    fn watch(&self, step: usize, version: u64, since: Moment, view: &View, now: Moment) -> Turn {
+        let At::Out { bad_since, .. } = self.at else { return Turn::Hold(Hold::Settling) };
+        if let (Some(bad), Some(why)) = (bad_since, self.undoes(view))
+            && now.since(bad) >= BAD_FOR
+        {
+            return self.undo(step, why.to_string());
+        }
+        let unheard = self.unheard(step, version, view, now);
+        if now.since(since) >= ANSWERS_WITHIN
+            && let Some(place) = &unheard
+        {
+            return self.undo(step, Hold::Unheard { place: place.clone() }.to_string());
+        }
+        if let Some(place) = unheard {
+            return Turn::Hold(Hold::Unheard { place });
+        }
+        if now.since(since) < SETTLES * self.slower() || bad_since.is_some() {
+            return Turn::Hold(Hold::Settling);
+        }
+        Turn::Do(Stage::Settled { step })
+    }
+
+    fn undo(&self, step: usize, why: String) -> Turn {
+        Turn::Do(Stage::Undone { step, version: self.version + 1, why })
+    }
+
+    fn go_on(&self, since: Moment, rest: Span, view: &View, now: Moment) -> Turn {
+        if self.done >= self.plan.steps.len() {
+            return Turn::Do(Stage::Ended { complete: true });
+        }
+        if self.undone >= MOST_UNDONE {
+            return Turn::Do(Stage::Ended { complete: false });
+        }
+        if now.since(since) < rest {
+            return Turn::Hold(Hold::Resting);
+        }
+        let step = &self.plan.steps[self.done];
+        if let Some(hold) = self.too_young(step, view).or_else(|| busy(view, ARCHIVE_HOLDS, HUB_HOLDS)) {
+            return Turn::Hold(hold);
+        }
+        Turn::Do(Stage::Out { step: self.done + 1, version: self.version + 1 })
+    }
+
+    fn too_young(&self, step: &Step, view: &View) -> Option<Hold> {
+        step.needs.iter().find_map(|need| {
+            let (age, needed) = (*view.ages.get(&need.hub)?, Span::millis(need.age_ms));
+            (age < needed).then(|| Hold::TooYoung { hub: need.hub.clone(), age, needed })
+        })
+    }
+
+    fn undoes(&self, view: &View) -> Option<Hold> {
+        busy(view, ARCHIVE_UNDOES, HUB_UNDOES)
+    }
+
+    /// A hub of the step, or one that it is tied to, that has not said that it follows. Others that are silent are
+    /// passed over: they serve on by the version that they have.
+    fn unheard(&self, step: usize, version: u64, view: &View, now: Moment) -> Option<String> {
+        let moves = self.plan.steps.get(step.checked_sub(1)?)?.moves.iter();
+        let named = moves.flat_map(|one| one.to.iter().chain([&one.place]));
+        let behind = named.filter(|name| {
+            let heard = view.members.get(*name);
+            heard.is_some_and(|heard| heard.version < version && now.since(heard.at) < ANSWERS_WITHIN * 2.0)
+        });
+        behind.min().cloned()
+    }
+
+    pub fn lasted(&self, now: Moment) -> Span {
+        now.since(self.begun)
+    }
+}
+
+fn busy(view: &View, archive: f64, hub: f64) -> Option<Hold> {
+    let fetches: f64 = view.members.values().map(|heard| heard.fetches).sum();
+    let share = fetches / view.stopping.max(1e-9);
+    if share > archive {
+        return Some(Hold::ArchiveBusy { share });
+    }
+    let slow = view.members.iter().find(|(_, heard)| heard.slowness > hub);
+    slow.map(|(name, heard)| Hold::HubSlow { hub: name.clone(), slowness: heard.slowness })
+}
--- /dev/null
+++ b/crates/shape/src/shield.rs
@@ -0,0 +1,122 @@
+//! Who may fetch an object from the archive: one hub for all, also while its home moves.
+//!
+//! The home of an object, by the newest version that a hub knows, fetches it. A home that is new asks those that were
+//! home lately first, the latest first. Each of them answers one of three things: the copy; that a fetch of its own
+//! is under way, which the new home then joins; or that it lacks the object, and with that it gives the right away:
+//! from then on it asks the new home, whatever version it is on. So at each moment one hub at most may begin a fetch.
+//! A right that was given away comes back after a term, so that a holder that died delays nobody for longer.
+use crate::knots::Key;
+use crate::route;
+use crate::tree::{PlaceIx, Versions};
+use harestage::time::{Moment, Span};
+use std::collections::{HashMap, VecDeque};
+
+/// For as long after a version came, who was home before it is asked first. What nobody wanted for longer is as good
+/// as new, and may be fetched anew.
+pub const HANDOVER: Span = Span::millis(60_000);
+/// A former home that does not answer in this time is taken to have nothing.
+pub const ANSWERS_WITHIN: Span = Span::millis(250);
+/// A right that was given away, and of which nothing was heard again, comes back after it.
+pub const TERM: Span = Span::millis(1_000);
+/// Former homes that are asked at most.
+const MOST_ASKED: usize = 3;
+/// Rights given away that are remembered. Past it the oldest is forgotten, which can cost a second fetch of an object
+/// that two hubs want within the same second.
+const MOST_CEDED: usize = 65_536;
+
+/// What a hub may do about an object that it is to get from the archive.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Right {
+    Own,
+    /// This one was home before, and has not been asked yet.
+    Ask(PlaceIx),
+    /// Given away until then: the holder has it, or is fetching it.
+    Ceded {
+        until: Moment,
+    },
+}
+
+/// How a former home answers the new one.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Reply {
+    /// It has a copy that will do.
+    Held,
+    /// It is fetching one, or waits for one: the new home may join.
+    UnderWay,
+    /// It lacks the object, and fetches it no more until then.
+    Ceded { until: Moment },
+    /// It gave the right to another hub, until then.
+    Elsewhere { until: Moment },
+}
+
+#[derive(Clone)]
+struct Ceded {
+    to: String,
+    until: Moment,
+}
+
+#[derive(Default)]
+pub struct Shield {
+    ceded: HashMap<Key, Ceded>,
+    order: VecDeque<(Moment, Key)>,
+}
+
+impl Shield {
+    /// May this hub fetch from the archive now? `asked` are the former homes that have answered, or failed to.
+    pub fn right(&self, versions: &Versions, me: PlaceIx, key: Key, asked: &[PlaceIx], now: Moment) -> Right {
+        if let Some(ceded) = self.ceded.get(&key).filter(|ceded| ceded.until > now) {
+            return Right::Ceded { until: ceded.until };
+        }
+        if asked.len() >= MOST_ASKED {
+            return Right::Own;
+        }
+        // Also one that the newest version no longer names: it may hold the object, or be fetching it, all the same.
+        let before = versions.lately(now, HANDOVER).filter_map(|shape| route::home(shape, key.0));
+        let mut before = before.filter(|place| *place != me && !asked.contains(place));
+        before.next().map_or(Right::Own, Right::Ask)
+    }
+
+    /// To whom the right was given, if it still is.
+    pub fn holder(&self, key: Key, now: Moment) -> Option<&str> {
+        self.ceded.get(&key).filter(|ceded| ceded.until > now).map(|ceded| ceded.to.as_str())
+    }
+
+    /// A hub that takes itself for the new home asks for the right to fetch.
+    pub fn asked(&mut self, key: Key, by: &str, held: bool, under_way: bool, now: Moment) -> Reply {
+        if held {
+            return Reply::Held;
+        }
+        if let Some(ceded) = self.ceded.get(&key).filter(|ceded| ceded.until > now && ceded.to != by) {
+            return Reply::Elsewhere { until: ceded.until };
+        }
+        if under_way {
+            return Reply::UnderWay;
+        }
+        let until = now + TERM;
+        self.ceded.insert(key, Ceded { to: by.into(), until });
+        self.order.push_back((until, key));
+        self.tidy(now);
+        Reply::Ceded { until }
+    }
+
+    /// A copy has come: whoever fetched it, nobody else has to.
+    pub fn filled(&mut self, key: Key) {
+        self.ceded.remove(&key);
+    }
+
+    fn tidy(&mut self, now: Moment) {
+        while let Some((until, key)) = self.order.front().copied() {
+            if until > now && self.ceded.len() <= MOST_CEDED {
+                return;
+            }
+            self.order.pop_front();
+            if self.ceded.get(&key).is_some_and(|ceded| ceded.until <= until) {
+                self.ceded.remove(&key);
+            }
+        }
+    }
+
+    pub fn ceded(&self) -> usize {
+        self.ceded.len()
+    }
+}
--- /dev/null
+++ b/crates/shape/tests/control.rs
@@ -0,0 +1,153 @@
+//! The service: what it writes down before it does it, and who goes on after a death at any point.
+mod common;
+use common::*;
+use harestage_shape::control::{Control, Effect, Entry, Record, Refused, Report, Said};
+use harestage_shape::form::ShapeForm;
+use harestage_shape::run::Stage;
+
+const START: u64 = 1_000_000;
+
+/// A service with a journal, and hubs that follow at once.
+struct Site {
+    control: Control,
+    journal: Vec<Record>,
+    published: Vec<u64>,
+    said: Vec<Said>,
+    now: u64,
+}
+
+impl Site {
+    fn open(journal: Vec<Record>, now: u64) -> Site {
+        let (control, effects) = Control::open(&journal, Some(&two_hubs()), at_ms(now)).unwrap();
+        let mut site = Site { control, journal, published: Vec::new(), said: Vec::new(), now };
+        site.carry_out(effects);
+        site
+    }
+
+    fn carry_out(&mut self, effects: Vec<Effect>) {
+        for effect in effects {
+            match effect {
+                Effect::Write(record) => self.journal.push(record),
+                Effect::Publish(version) => self.published.push(version),
+                Effect::Say(said) => self.said.push(said),
+            }
+        }
+    }
+
+    fn turn(&mut self) {
+        self.now += 100;
+        let report = Report { version: self.control.shape().version(), slowness: 1.0, ..Report::default() };
+        for hub in ["a", "b", "c"] {
+            let (_, effects) = self.control.hear(hub, &report, at_ms(self.now));
+            self.carry_out(effects);
+        }
+        let effects = self.control.beat(at_ms(self.now));
+        self.carry_out(effects);
+    }
+
+    fn run(&mut self) {
+        for _ in 0..2_000 {
+            self.turn();
+            if !self.control.is_changing() {
+                return;
+            }
+        }
+        panic!("the change never ended: {:?}", self.said.last());
+    }
+
+    fn apply(&mut self, form: &ShapeForm) -> Result<(), Refused> {
+        let effects = self.control.apply(form, None, "op", at_ms(self.now))?;
+        self.carry_out(effects);
+        Ok(())
+    }
+}
+
+fn wanted(version: u64) -> ShapeForm {
+    ShapeForm { version, ..third_hub(START) }
+}
+
+#[test]
+fn a_change_runs_to_its_end_and_is_written_down() {
+    let mut site = Site::open(Vec::new(), START);
+    site.apply(&third_hub(START)).unwrap();
+    site.run();
+    let version = site.control.shape().version();
+    assert_eq!(site.control.shape().form(), wanted(version));
+    assert!(site.published.windows(2).all(|two| two[0] < two[1]), "{:?}", site.published);
+    assert_eq!(site.said.last(), Some(&Said::Ended { complete: true, version }));
+    let again = Site::open(site.journal.clone(), site.now);
+    assert_eq!(again.control.shape().form(), wanted(version));
+    assert_eq!(again.control.term(), 2);
+}
+
+/// Killed after each line of its journal, and taken up by the next: the same end, and no number told twice with
+/// another shape behind it.
+#[test]
+fn a_change_survives_the_death_of_its_runner_at_any_line() {
+    let mut whole = Site::open(Vec::new(), START);
+    whole.apply(&third_hub(START)).unwrap();
+    whole.run();
+    let begun = whole.journal.iter().position(|r| matches!(r.entry, Entry::Begun { .. })).unwrap();
+    for cut in begun + 1..whole.journal.len() {
+        let journal = whole.journal[..cut].to_vec();
+        let mut next = Site::open(journal, START + cut as u64 * 1_000);
+        let ended = whole.journal[..cut].iter().any(|r| matches!(r.entry, Entry::Stage(Stage::Ended { .. })));
+        assert_eq!(next.control.is_changing(), !ended, "cut at {cut}");
+        let told = next.published[0];
+        next.run();
+        assert_eq!(next.control.shape().form(), wanted(next.control.shape().version()), "cut at {cut}");
+        assert!(next.published.iter().all(|version| *version >= told));
+    }
+}
+
+/// The runner that was replaced writes on: its lines stand behind those of the new term, and do not count.
+#[test]
+fn a_runner_that_was_replaced_can_not_interleave() {
+    let mut old = Site::open(Vec::new(), START);
+    old.apply(&third_hub(START)).unwrap();
+    (0..30).for_each(|_| old.turn());
+    let mut new = Site::open(old.journal.clone(), old.now);
+    let shared = new.journal.len();
+    old.run();
+    let late: Vec<Record> = old.journal[shared - 1..].to_vec();
+    assert!(!late.is_empty() && late.iter().all(|record| record.term == 1));
+    (0..10).for_each(|_| new.turn());
+    let mut mixed = new.journal.clone();
+    mixed.extend(late);
+    let recalled = Site::open(mixed, new.now);
+    assert_eq!(recalled.control.shape().form(), new.control.shape().form());
+    assert_eq!(recalled.control.term(), 3);
+}
+
+#[test]
+fn one_change_at_a_time_and_only_from_the_version_that_was_looked_at() {
+    let mut site = Site::open(Vec::new(), START);
+    let moved = site.control.apply(&third_hub(START), Some(7), "op", at_ms(START)).unwrap_err();
+    assert_eq!(moved, Refused::Moved { expected: 7, is: 1 });
+    assert_eq!(site.apply(&two_hubs()), Err(Refused::Same { version: 1 }));
+    site.apply(&third_hub(START)).unwrap();
+    let second = site.apply(&two_hubs()).unwrap_err();
+    assert!(matches!(&second, Refused::Busy { by, .. } if by == "op"), "{second}");
+    site.run();
+    let mut looped = two_hubs();
+    looped.hubs[0].up = vec!["b".into()];
+    looped.hubs[1].up = vec!["a".into()];
+    assert_eq!(site.apply(&looped).unwrap_err().to_string(), "loop: a -> b -> a");
+    site.apply(&two_hubs()).unwrap();
+    site.run();
+    assert_eq!(
+        site.control.shape().form(),
+        ShapeForm { version: site.control.shape().version(), ..two_hubs() }
+    );
+}
+
+#[test]
+fn members_that_were_away_are_told_what_they_missed() {
+    let mut site = Site::open(Vec::new(), START);
+    site.apply(&third_hub(START)).unwrap();
+    site.run();
+    let last = site.control.shape().version();
+    let missed: Vec<u64> = site.control.since(1).unwrap().iter().map(|shape| shape.version()).collect();
+    assert_eq!(missed, (2..=last).collect::<Vec<_>>());
+    assert!(site.control.since(last).unwrap().is_empty());
+}
--- /dev/null
+++ b/crates/shape/tests/plans.rs
@@ -0,0 +1,202 @@
+//! Plans: bounded steps, allowances that cover, no loop on the way; and the runner with its guards.
+mod common;
+use common::*;
+use harestage::time::Span;
+use harestage_shape::check;
+use harestage_shape::plan::{NoPlan, Plan, plan};
+use harestage_shape::run::{Heard, Hold, Runner, Stage, Turn, View};
+use harestage_shape::tree::{Shape, take, warmth};
+use std::collections::BTreeMap;
+
+const START: u64 = 1_000_000;
+
+/// Walks a plan and looks at every shape on its way.
+fn walk(from: &Shape, plan: &Plan) -> Vec<Shape> {
+    (1..=plan.steps.len()).map(|n| plan.shape_after(from, n, from.version() + n as u64)).collect()
+}
+
+#[test]
+fn a_fresh_hub_is_never_asked_for_more_than_it_can_do() {
+    let from = take(&two_hubs()).unwrap();
+    let to = third_hub(START);
+    let plan = plan(&from, &to, at_ms(START)).unwrap();
+    assert!(plan.steps.len() > 4, "{:#?}", plan.steps);
+    let mut last = from.clone();
+    for (shape, step) in walk(&from, &plan).iter().zip(&plan.steps) {
+        assert!(check::loops(shape).is_empty());
+        let at = shape.find("c").unwrap();
+        let hub = shape.place(at).unwrap().hub().unwrap();
+        let age = Span::millis(step.needs.iter().find(|need| need.hub == "c").map_or(0, |need| need.age_ms));
+        let asked = check::loads(shape).unwrap().of(at);
+        assert!(asked <= hub.capacity * warmth(hub, age) * 0.75 + 1e-6, "{asked} at {age:?}");
+        assert!(step.moved <= 0.1 + 1e-9 || step.moves.len() == 1, "{step:?}");
+        last = shape.clone();
+    }
+    let mut wanted = take(&to).unwrap().form();
+    wanted.version = last.version();
+    assert_eq!(last.form(), wanted, "the last step is the shape that was asked for");
+}
+
+/// A place's ties grow before they shrink, so that an object moves once at most.
+#[test]
+fn an_object_moves_once_at_most_for_each_branch() {
+    let from = take(&two_hubs()).unwrap();
+    let plan = plan(&from, &third_hub(START), at_ms(START + 60_000)).unwrap();
+    let shapes = walk(&from, &plan);
+    let branch = from.find("n").unwrap();
+    for object in 0..500 {
+        let hub = |shape: &Shape| {
+            let ties = shape.ties(branch).iter().copied();
+            shape.name(harestage_shape::route::first(shape, ties, object).unwrap()).to_string()
+        };
+        let mut homes: Vec<String> = std::iter::once(&from).chain(&shapes).map(hub).collect();
+        homes.dedup();
+        assert!(homes.len() <= 2, "{homes:?}");
+    }
+}
+
+/// Two hubs of a middle tier change places: any order of single ties would tie a loop on the way.
+#[test]
+fn what_would_tie_a_loop_on_the_way_goes_at_once() {
+    let mut form = two_hubs();
+    form.hubs.extend([hub("m", &["a"]), hub("k", &["m"])]);
+    form.branches.push(branch("far", 5.0, &["k", "m"]));
+    let from = take(&form).unwrap();
+    form.hubs[2].up = vec!["k".into()];
+    form.hubs[3].up = vec!["a".into()];
+    let plan = plan(&from, &form, at_ms(START)).unwrap();
+    for shape in walk(&from, &plan) {
+        assert!(check::loops(&shape).is_empty());
+    }
+}
+
+#[test]
+fn what_can_never_be_carried_is_no_plan() {
+    let mut to = third_hub(0);
+    to.hubs[2].capacity = 10.0;
+    let told = plan(&take(&two_hubs()).unwrap(), &to, at_ms(START)).unwrap_err();
+    assert!(matches!(told, NoPlan::Wrong(_)), "{told}");
+}
+
+struct Watch {
+    members: BTreeMap<String, Heard>,
+    ages: BTreeMap<String, Span>,
+}
+
+impl Watch {
+    fn new() -> Watch {
+        let heard = |name: &str| (name.to_string(), Heard { slowness: 1.0, ..Heard::default() });
+        Watch { members: ["a", "b", "c"].map(heard).into(), ages: BTreeMap::new() }
+    }
+    fn see(&mut self, version: u64, ms: u64) {
+        self.members.values_mut().for_each(|heard| (heard.version, heard.at) = (version, at_ms(ms)));
+        self.ages.insert("c".into(), Span::millis(ms - START));
+    }
+    fn view(&self) -> View<'_> {
+        View { members: &self.members, stopping: 250.0, ages: &self.ages }
+    }
+}
+
+/// Turns a runner every 50 ms, as the service does; members follow at once unless `see` says otherwise.
+fn run(
+    runner: &mut Runner,
+    watch: &mut Watch,
+    from: u64,
+    to: u64,
+    see: impl Fn(&mut Watch, u64, u64),
+) -> Vec<Stage> {
+    let mut stages = Vec::new();
+    for ms in (from..to).step_by(50) {
+        see(watch, runner.version(), ms);
+        runner.look(&watch.view(), at_ms(ms));
+        if let Turn::Do(stage) = runner.turn(&watch.view(), at_ms(ms)) {
+            runner.enter(&stage, at_ms(ms));
+            stages.push(stage);
+        }
+    }
+    stages
+}
+
+fn runner() -> Runner {
+    let from = take(&two_hubs()).unwrap();
+    Runner::begin(plan(&from, &third_hub(START), at_ms(START)).unwrap(), 1, at_ms(START))
+}
+
+#[test]
+fn steps_go_out_one_by_one_each_when_its_hub_is_old_enough() {
+    let (mut runner, mut watch) = (runner(), Watch::new());
+    let steps = runner.plan.steps.clone();
+    let mut out = Vec::new();
+    for ms in (START..START + 60_000).step_by(50) {
+        watch.see(runner.version(), ms);
+        if let Turn::Do(stage) = runner.turn(&watch.view(), at_ms(ms)) {
+            if let Stage::Out { step, .. } = stage {
+                for need in &steps[step - 1].needs {
+                    assert!(ms - START >= need.age_ms, "step {step} at {ms}, {need:?}");
+                }
+                out.push(step);
+            }
+            runner.enter(&stage, at_ms(ms));
+        }
+    }
+    assert_eq!(out, (1..=steps.len()).collect::<Vec<_>>());
+    assert!(runner.is_over());
+}
+
+#[test]
+fn a_hub_that_gets_slow_undoes_the_step_and_the_plan_goes_on_later() {
+    let (mut runner, mut watch) = (runner(), Watch::new());
+    let slow_from = START + 2_000;
+    let stages = run(&mut runner, &mut watch, START, START + 90_000, |watch, version, ms| {
+        watch.see(version, ms);
+        let slow = (slow_from..slow_from + 1_500).contains(&ms);
+        watch.members.get_mut("c").unwrap().slowness = if slow { 20.0 } else { 1.0 };
+    });
+    let undone = stages.iter().filter(|stage| matches!(stage, Stage::Undone { .. })).count();
+    assert_eq!(undone, 1, "{stages:?}");
+    assert_eq!(stages.last(), Some(&Stage::Ended { complete: true }));
+    let versions = stages.iter().filter_map(|stage| match stage {
+        Stage::Out { version, .. } | Stage::Undone { version, .. } => Some(*version),
+        _ => None,
+    });
+    let versions: Vec<u64> = versions.collect();
+    assert!(versions.windows(2).all(|two| two[1] == two[0] + 1), "numbers never go back: {versions:?}");
+}
+
+#[test]
+fn a_busy_archive_holds_and_one_near_its_stopping_point_undoes() {
+    let (mut runner, mut watch) = (runner(), Watch::new());
+    let stages = run(&mut runner, &mut watch, START, START + 8_000, |watch, version, ms| {
+        watch.see(version, ms);
+        watch.members.get_mut("a").unwrap().fetches = 0.75 * 250.0;
+    });
+    assert!(stages.is_empty(), "{stages:?}");
+    let busy = runner.turn(&watch.view(), at_ms(START + 8_000));
+    assert!(matches!(busy, Turn::Hold(Hold::ArchiveBusy { .. })), "{busy:?}");
+    let stages = run(&mut runner, &mut watch, START + 8_000, START + 60_000, |watch, version, ms| {
+        watch.see(version, ms);
+        let fetches = if version > 1 { 0.9 * 250.0 } else { 1.0 };
+        watch.members.get_mut("a").unwrap().fetches = fetches;
+    });
+    // The undone step brings a version of its own, so that the trouble stays, and the change is given up.
+    assert!(matches!(stages[1], Stage::Undone { .. }), "{stages:?}");
+}
+
+#[test]
+fn a_place_of_the_step_that_does_not_answer_undoes_it_and_others_are_passed_over() {
+    let (mut runner, mut watch) = (runner(), Watch::new());
+    let stages = run(&mut runner, &mut watch, START, START + 12_000, |watch, version, ms| {
+        watch.see(version, ms);
+        watch.members.get_mut("c").unwrap().version = 1;
+    });
+    assert!(
+        stages.iter().any(|stage| matches!(stage, Stage::Undone { why, .. } if why.contains('c'))),
+        "{stages:?}"
+    );
+    let (mut runner, mut watch) = (self::runner(), Watch::new());
+    let stages = run(&mut runner, &mut watch, START, START + 90_000, |watch, version, ms| {
+        watch.see(version, ms);
+        *watch.members.get_mut("b").unwrap() = Heard { at: at_ms(START - 9_000), ..Heard::default() };
+    });
+    assert_eq!(stages.last(), Some(&Stage::Ended { complete: true }));
+}
--- /dev/null
+++ b/crates/shape/tests/shares.rs
@@ -0,0 +1,148 @@
+//! The archive's gate and the right to fetch: parts that never add up to more than the whole, and one fetch for all.
+mod common;
+use common::*;
+use harestage::time::{Moment, Span};
+use harestage_shape::form::ShapeForm;
+use harestage_shape::parts::{Part, Share, Sharing, TERM};
+use harestage_shape::shield::{HANDOVER, Reply, Right, Shield, TERM as RIGHT_TERM};
+use harestage_shape::tree::{Shape, Versions};
+use quickcheck::{Gen, QuickCheck};
+
+/// Hubs come, go, die and lose answers as chance has it; the sum of what they may use stays under the whole at every
+/// moment, by the hubs' own reckoning and not the service's.
+#[test]
+fn old_and_new_parts_never_add_up_to_more_than_the_whole() {
+    fn holds(events: Vec<(u8, u16, u8)>) -> bool {
+        let mut sharing = Sharing::new(250.0);
+        let mut hubs: Vec<(Share, Option<(Part, Moment)>)> = Vec::new();
+        let mut now = at_ms(1_000);
+        for (what, wants, which) in events {
+            now = now + Span::millis(u64::from(what) * 3);
+            let at = usize::from(which) % 6;
+            while hubs.len() <= at {
+                hubs.push((Share::new(now), None));
+            }
+            let (share, in_use) = &mut hubs[at];
+            (0..wants % 50).for_each(|_| {
+                share.lets(now);
+            });
+            let (want, taken) = share.ask(now);
+            let part = sharing.ask(&format!("h{at}"), want, taken, 6, now);
+            // One answer in four is lost.
+            if what % 4 != 0 {
+                share.told(part, now, now + Span::millis(2));
+                *in_use = Some((part, now + TERM));
+            }
+            let sum: f64 = hubs.iter().filter_map(|(_, u)| *u).filter(|u| u.1 > now).map(|u| u.0.rate).sum();
+            if sum > sharing.whole() + 1e-6 || sharing.given_out(now) > sharing.whole() + 1e-6 {
+                return false;
+            }
+        }
+        true
+    }
+    for seed in 1..=4 {
+        let rng = Gen::from_size_and_seed(300, seed);
+        QuickCheck::new().rng(rng).tests(100).quickcheck(holds as fn(Vec<(u8, u16, u8)>) -> bool);
+    }
+}
+
+#[test]
+fn a_hub_that_comes_gets_room_as_others_let_go_and_keeps_its_floor_when_cut_off() {
+    let mut sharing = Sharing::new(250.0);
+    let mut taken = [0, 0];
+    for round in 0..40u64 {
+        let now = at_ms(round * 250);
+        taken[0] = sharing.ask("a", 1_000.0, taken[0], 2, now).number;
+        if round >= 8 {
+            taken[1] = sharing.ask("b", 1_000.0, taken[1], 2, now).number;
+        }
+    }
+    let part = sharing.ask("b", 1_000.0, taken[1], 2, at_ms(10_000));
+    assert!((part.rate - 75.0).abs() < 1e-6, "{part:?}");
+    let now = at_ms(10_000);
+    let mut share = Share::new(now);
+    share.told(part, now, now);
+    let begun =
+        |share: &mut Share, from: u64| (0..1_000u64).filter(|ms| share.lets(at_ms(from + ms))).count();
+    assert!((70..=95).contains(&begun(&mut share, 10_000)));
+    begun(&mut share, 11_000);
+    let alone = begun(&mut share, 13_000);
+    assert!(
+        (17..=24).contains(&alone),
+        "the floor is 18.75 a second, after a rest a quarter second more: {alone}"
+    );
+}
+
+/// Whoever takes the service over does not know what was given out.
+#[test]
+fn a_new_service_waits_until_its_forerunners_parts_have_ended() {
+    let mut sharing = Sharing::new(250.0);
+    sharing.begin_after(["a", "b"].map(String::from).into_iter(), at_ms(0));
+    assert!(sharing.ask("c", 100.0, 0, 3, at_ms(100)).rate < 1e-6);
+    assert!(sharing.ask("c", 100.0, 0, 3, at_ms(2_100)).rate > 49.0);
+}
+
+#[test]
+fn an_older_part_that_comes_late_is_passed_over() {
+    let mut share = Share::new(at_ms(0));
+    let part = |rate, number| Part { rate, floor: 1.0, number };
+    share.told(part(5.0, 2), at_ms(0), at_ms(0));
+    share.told(part(500.0, 1), at_ms(0), at_ms(1));
+    let begun = (0..1_000u64).filter(|ms| share.lets(at_ms(*ms))).count();
+    assert!((5..=7).contains(&begun), "{begun}");
+}
+
+fn moved_home() -> (Versions, u64) {
+    let before = Shape::of(&two_hubs()).unwrap();
+    let mut form = ShapeForm { version: 2, ..two_hubs() };
+    form.hubs.push(hub("c", &["archive"]));
+    let after = before.followed_by(&form).unwrap();
+    let c = after.find("c").unwrap();
+    let object = (0..).find(|o| harestage_shape::route::home(&after, *o) == Some(c)).unwrap();
+    let mut versions = Versions::default();
+    assert!(versions.enter(before, at_ms(0)) && versions.enter(after, at_ms(1_000)));
+    (versions, object)
+}
+
+#[test]
+fn a_new_home_asks_the_old_one_and_the_old_one_fetches_no_more() {
+    let (versions, object) = moved_home();
+    let (key, now) = ((object, 0), at_ms(1_100));
+    let newest = versions.newest().unwrap();
+    let c = newest.find("c").unwrap();
+    let old = harestage_shape::route::home(versions.before().unwrap(), object).unwrap();
+    let (mut old_shield, new_shield) = (Shield::default(), Shield::default());
+    assert_eq!(new_shield.right(&versions, c, key, &[], now), Right::Ask(old));
+    assert_eq!(old_shield.asked(key, "c", true, false, now), Reply::Held);
+    assert_eq!(old_shield.asked(key, "c", false, true, now), Reply::UnderWay);
+    let Reply::Ceded { until } = old_shield.asked(key, "c", false, false, now) else { panic!() };
+    assert_eq!(new_shield.right(&versions, c, key, &[old], now), Right::Own);
+    assert_eq!(old_shield.right(&versions, old, key, &[], now), Right::Ceded { until });
+    assert_eq!(
+        old_shield.asked(key, "d", false, false, now),
+        Reply::Elsewhere { until },
+        "one holder at a time"
+    );
+    assert_eq!(
+        old_shield.asked(key, "c", false, false, now),
+        Reply::Ceded { until },
+        "asked again after a break"
+    );
+    assert_eq!(old_shield.holder(key, now), Some("c"));
+    // The holder died: the right comes back by itself.
+    let later = until + Span::millis(1);
+    assert_ne!(old_shield.right(&versions, old, key, &[c], later), Right::Ceded { until });
+    assert_eq!(until.since(now), RIGHT_TERM);
+    assert_eq!(new_shield.right(&versions, c, key, &[], at_ms(1_000) + HANDOVER), Right::Own, "long after");
+}
+
+#[test]
+fn rights_given_away_are_bounded() {
+    let mut shield = Shield::default();
+    for n in 0..200_000u64 {
+        shield.asked((n, 0), "c", false, false, at_ms(n / 100));
+    }
+    assert!(shield.ceded() <= 65_537, "{}", shield.ceded());
+    shield.asked((0, 1), "c", false, false, at_ms(60_000));
+    assert_eq!(shield.ceded(), 1, "what is over is forgotten");
+}
--- a/crates/router/src/routing/clock.rs
+++ b/crates/sockets/src/clock.rs
@@ -1,4 +1,4 @@
-//! The router's clock: Unix time as it was at the start, carried on by the monotonic clock, so that a
+//! A program's clock: Unix time as it was at the start, carried on by the monotonic clock, so that a
 //! `Moment` never jumps and the protocol's Unix milliseconds need no more than a factor.
 use harestage::time::Moment;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
--- a/crates/wire/src/node.rs
+++ b/crates/wire/src/node.rs
@@ -262,10 +262,15 @@
     Packet { head: resp::head(&items, given.body.len()), body: given.body.clone() }
 }
 
-/// The answer to `health` and, with a report, to `gauges`.
-pub fn write_state(tag: &[u8], well: bool, gauges: Option<&str>) -> Packet {
+/// Asks for the load report, under a tag.
+pub fn write_gauges(tag: &[u8]) -> Packet {
+    Packet { head: resp::head(&[b"gauges"], tag.len()), body: Bytes::copy_from_slice(tag) }
+}
+
+/// The answer to `health` and, with a report, to `gauges`; `name` is what the node calls itself.
+pub fn write_state(tag: &[u8], well: bool, gauges: Option<&str>, name: &str) -> Packet {
     let word: &[u8] = if well { b"READY" } else { b"AILING" };
-    let fields = Fields::default().with_some("gauges", gauges).or("-");
+    let fields = Fields::default().with_some("gauges", gauges).with("name", name).or("-");
     Packet { head: resp::head(&[tag, word, fields.as_bytes()], 0), body: Bytes::new() }
 }
 
