--- /dev/null
+++ b/crates/cli/src/shape.rs
@@ -0,0 +1,351 @@
+//! `harestage shape`: looks at shapes in files, and at the one in service.
+use crate::{draw, exit};
+use clap::Subcommand;
+use harestage::time::Moment;
+use harestage_shape::check::{self, Loads};
+use harestage_shape::control::{Said, Status};
+use harestage_shape::form::{self, ShapeForm};
+use harestage_shape::lines::{self, Answer, Call};
+use harestage_shape::plan::{Plan, plan};
+use harestage_shape::tree::{self, ARCHIVE};
+use indicatif::{ProgressBar, ProgressStyle};
+use std::collections::BTreeSet;
+use std::io::{BufRead, BufReader, IsTerminal, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+#[derive(Subcommand)]
+pub enum Shape {
+    /// Check a shape file; complaints go to standard error, a line each.
+    Check {
+        file: PathBuf,
+        #[arg(long)]
+        json: bool,
+    },
+    /// Show what differs between two shape files.
+    Diff {
+        before: PathBuf,
+        after: PathBuf,
+        #[arg(long)]
+        json: bool,
+    },
+    /// Show the steps from one shape to another, or from the one in service.
+    Plan {
+        file: PathBuf,
+        /// The shape that it starts from; absent: the one in service.
+        #[arg(long)]
+        from: Option<PathBuf>,
+        #[command(flatten)]
+        service: Service,
+        #[arg(long)]
+        json: bool,
+        /// Write a picture of the steps there.
+        #[arg(long)]
+        svg: Option<PathBuf>,
+    },
+    /// Change the shape in service, and watch it to its end.
+    Apply {
+        file: PathBuf,
+        #[command(flatten)]
+        service: Service,
+        /// Refuse unless this version is in service.
+        #[arg(long)]
+        expect: Option<u64>,
+        /// Who applies it, for others to see.
+        #[arg(long, default_value = "operator")]
+        by: String,
+        #[arg(long)]
+        json: bool,
+    },
+    /// Show the shape in service, its members, and a change that is under way.
+    Status {
+        #[command(flatten)]
+        service: Service,
+        #[arg(long)]
+        json: bool,
+    },
+    /// Draw a shape as SVG, or as text for Graphviz.
+    Draw {
+        file: PathBuf,
+        #[arg(long)]
+        dot: bool,
+    },
+}
+
+#[derive(clap::Args)]
+pub struct Service {
+    /// Address and port of the control service.
+    #[arg(long, default_value = "127.0.0.1:9100")]
+    control: SocketAddr,
+}
+
+/// What ends a command before its end.
+enum Failure {
+    Refused(String),
+    Away(String),
+    Unfinished(String),
+}
+
+pub fn run(what: Shape) -> ExitCode {
+    let told = match what {
+        Shape::Check { file, json } => check_file(&file, json),
+        Shape::Diff { before, after, json } => diff(&before, &after, json),
+        Shape::Plan { file, from, service, json, svg } => show_plan(&file, from, &service, json, svg),
+        Shape::Apply { file, service, expect, by, json } => apply(&file, &service, expect, by, json),
+        Shape::Status { service, json } => status(&service, json),
+        Shape::Draw { file, dot } => draw_file(&file, dot),
+    };
+    let (why, code) = match told {
+        Ok(()) => return ExitCode::SUCCESS,
+        Err(Failure::Refused(why)) => (why, exit::REFUSED),
+        Err(Failure::Away(why)) => (why, exit::AWAY),
+        Err(Failure::Unfinished(why)) => (why, exit::UNFINISHED),
+    };
+    why.lines().for_each(|line| eprintln!("harestage: {line}"));
+    ExitCode::from(code)
+}
+
+fn read(file: &Path) -> Result<ShapeForm, Failure> {
+    form::read_file(file).map_err(|why| Failure::Refused(why.to_string()))
+}
+
+/// Reads a shape that holds.
+fn take(file: &Path) -> Result<tree::Shape, Failure> {
+    tree::take(&read(file)?).map_err(|complaints| {
+        let lines: Vec<_> = complaints.iter().map(|c| format!("{}: {c}", file.display())).collect();
+        Failure::Refused(lines.join("\n"))
+    })
+}
+
+fn print_json(json: serde_json::Value) {
+    println!("{json:#}");
+}
+
+fn check_file(file: &Path, json: bool) -> Result<(), Failure> {
+    let shape = take(file)?;
+    let loads: Loads = check::loads(&shape).unwrap_or_default();
+    let rows = shape.hubs().map(|(at, hub)| (hub.name.as_str(), loads.of(at), hub.capacity));
+    let archive = shape.archive();
+    let rows: Vec<_> = rows.chain([(archive.name.as_str(), loads.of(ARCHIVE), archive.capacity)]).collect();
+    if json {
+        let rows = rows.iter().map(
+            |(name, asked, carries)| serde_json::json!({"name": name, "asked": asked, "carries": carries}),
+        );
+        print_json(serde_json::json!({"holds": true, "loads": rows.collect::<Vec<_>>()}));
+        return Ok(());
+    }
+    for (name, asked, carries) in rows {
+        println!("{name:<24} asked {asked:>8.1} of {carries:>8.1} fills a second");
+    }
+    Ok(())
+}
+
+fn diff(before: &Path, after: &Path, json: bool) -> Result<(), Failure> {
+    let (before, after) = (read(before)?, read(after)?);
+    let ties = |form: &ShapeForm| -> std::collections::BTreeMap<String, Vec<String>> {
+        let hubs = form.hubs.iter().map(|hub| (hub.name.clone(), hub.up.clone()));
+        hubs.chain(form.branches.iter().map(|b| (b.name.clone(), b.hubs.clone()))).collect()
+    };
+    let (old, new) = (ties(&before), ties(&after));
+    let names: BTreeSet<&String> = old.keys().chain(new.keys()).collect();
+    let differing: Vec<_> = names.into_iter().filter(|name| old.get(*name) != new.get(*name)).collect();
+    if json {
+        let rows = differing.iter().map(
+            |name| serde_json::json!({"place": name, "before": old.get(*name), "after": new.get(*name)}),
+        );
+        print_json(serde_json::Value::Array(rows.collect()));
+        return Ok(());
+    }
+    for name in differing {
+        match (old.get(name), new.get(name)) {
+            (Some(from), Some(to)) => println!("{name}: {} -> {}", from.join(" "), to.join(" ")),
+            (None, Some(to)) => println!("{name}: new, tied to {}", to.join(" ")),
+            (Some(from), _) => println!("{name}: gone, was tied to {}", from.join(" ")),
+            (None, None) => {}
+        }
+    }
+    Ok(())
+}
+
+fn now() -> Moment {
+    let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    Moment::at_micros(unix.as_micros() as u64)
+}
+
+fn show_plan(
+    file: &Path,
+    from: Option<PathBuf>,
+    service: &Service,
+    json: bool,
+    svg: Option<PathBuf>,
+) -> Result<(), Failure> {
+    let wanted = read(file)?;
+    let plan = match from {
+        Some(from) => plan(&take(&from)?, &wanted, now()).map_err(|why| Failure::Refused(why.to_string()))?,
+        None => match call(service, &Call::Plan { form: Box::new(wanted) })?.next()? {
+            Answer::Plan(plan) => *plan,
+            Answer::Refused(lines) => return Err(Failure::Refused(lines.join("\n"))),
+            other => return Err(Failure::Away(format!("an answer of another kind: {other:?}"))),
+        },
+    };
+    if let Some(path) = svg {
+        std::fs::write(&path, draw::plan_svg(&plan))
+            .map_err(|why| Failure::Refused(format!("{}: {why}", path.display())))?;
+    }
+    if json {
+        print_json(serde_json::to_value(&plan).unwrap_or_default());
+        return Ok(());
+    }
+    print_plan(&plan);
+    Ok(())
+}
+
+fn print_plan(plan: &Plan) {
+    println!("from version {}, {} steps, {:.1} s", plan.from, plan.steps.len(), plan.lasts().seconds());
+    for step in &plan.steps {
+        let needs: Vec<_> = step
+            .needs
+            .iter()
+            .map(|need| format!("{} {:.1} s old", need.hub, need.age_ms as f64 / 1e3))
+            .collect();
+        let needs = if needs.is_empty() { String::new() } else { format!(", needs {}", needs.join(", ")) };
+        println!("step {}: {:.1}% of the load{needs}", step.number, step.moved * 100.0);
+        for one in &step.moves {
+            println!("  {}: {} -> {}", one.place, one.from.join(" "), one.to.join(" "));
+        }
+    }
+}
+
+/// A call under way.
+struct Reading {
+    lines: BufReader<TcpStream>,
+}
+
+impl Reading {
+    fn next(&mut self) -> Result<Answer, Failure> {
+        let mut line = String::new();
+        let read = self.lines.read_line(&mut line).map_err(|why| Failure::Away(why.to_string()))?;
+        if read == 0 {
+            return Err(Failure::Away("the control service went away".into()));
+        }
+        serde_json::from_str(&line).map_err(|why| Failure::Away(format!("an unreadable answer: {why}")))
+    }
+}
+
+fn call(service: &Service, call: &Call) -> Result<Reading, Failure> {
+    let away = |why: std::io::Error| Failure::Away(format!("control service {}: {why}", service.control));
+    let stream = TcpStream::connect_timeout(&service.control, Duration::from_secs(2)).map_err(away)?;
+    (&stream).write_all(&lines::line(call)).map_err(away)?;
+    Ok(Reading { lines: BufReader::new(stream) })
+}
+
+fn apply(file: &Path, service: &Service, expect: Option<u64>, by: String, json: bool) -> Result<(), Failure> {
+    let form = Box::new(read(file)?);
+    let mut reading = call(service, &Call::Apply { form, expect, by })?;
+    let bar = std::io::stderr().is_terminal().then(|| {
+        let style = ProgressStyle::with_template("{bar:30} {pos}/{len} {elapsed} {msg}");
+        ProgressBar::new(0).with_style(style.unwrap_or_else(|_| ProgressStyle::default_bar()))
+    });
+    loop {
+        let said = match reading.next()? {
+            Answer::Said(said) => said,
+            Answer::Refused(lines) => return Err(Failure::Refused(lines.join("\n"))),
+            other => return Err(Failure::Away(format!("an answer of another kind: {other:?}"))),
+        };
+        if json {
+            println!("{}", serde_json::to_string(&said).unwrap_or_default());
+        } else if let Some(bar) = &bar {
+            show(bar, &said);
+        } else {
+            println!("{}", worded(&said));
+        }
+        if let Said::Ended { complete, version } = said {
+            bar.iter().for_each(ProgressBar::finish_and_clear);
+            if complete {
+                eprintln!("version {version} is in service");
+                return Ok(());
+            }
+            return Err(Failure::Unfinished(format!("the change was given up at version {version}")));
+        }
+    }
+}
+
+fn show(bar: &ProgressBar, said: &Said) {
+    match said {
+        Said::Begun { steps, .. } => bar.set_length(*steps as u64),
+        Said::StepSettled { step, .. } => bar.set_position(*step as u64),
+        _ => {}
+    }
+    bar.set_message(worded(said));
+}
+
+fn worded(said: &Said) -> String {
+    match said {
+        Said::Begun { from, steps, by } => format!("from version {from}, {steps} steps, by {by}"),
+        Said::StepOut { step, of, version } => format!("step {step} of {of} is out as version {version}"),
+        Said::StepSettled { step, of } => format!("step {step} of {of} has settled"),
+        Said::StepUndone { step, version, why } => format!("step {step} undone by version {version}: {why}"),
+        Said::Held { step, of, why } => format!("after step {step} of {of}: {why}"),
+        Said::Ended { complete: true, version } => format!("complete at version {version}"),
+        Said::Ended { complete: false, version } => format!("given up at version {version}"),
+        Said::Loop { hub, object, path, waited_ms, before } => {
+            let path = path.join(" -> ");
+            format!(
+                "{hub} broke loop {path} of object {object} after {waited_ms:.0} ms, seen {before} times before"
+            )
+        }
+    }
+}
+
+fn status(service: &Service, json: bool) -> Result<(), Failure> {
+    let status = match call(service, &Call::Status)?.next()? {
+        Answer::Status(status) => *status,
+        other => return Err(Failure::Away(format!("an answer of another kind: {other:?}"))),
+    };
+    if json {
+        print_json(serde_json::to_value(&status).unwrap_or_default());
+        return Ok(());
+    }
+    print_status(&status);
+    Ok(())
+}
+
+fn print_status(status: &Status) {
+    println!("version {}, term {}", status.version, status.term);
+    match &status.change {
+        Some(change) => {
+            let held = change.held.as_deref().map(|why| format!(", holds: {why}")).unwrap_or_default();
+            println!(
+                "change by {}: step {} of {}, {} undone, {:.1} s{held}",
+                change.by,
+                change.step,
+                change.of,
+                change.undone,
+                change.lasted_ms as f64 / 1e3
+            );
+        }
+        None => println!("no change under way"),
+    }
+    println!(
+        "archive: {:.2} of its stopping point, parts given out {:.1}",
+        status.archive_share, status.given_out
+    );
+    for member in &status.members {
+        println!(
+            "{:<24} version {:>5}, silent {:>6} ms, {:>5.1} times its usual time, {:>7.1} fetches a second",
+            member.name, member.version, member.silent_ms, member.slowness, member.fetches
+        );
+    }
+    println!("loops broken: {}", status.loops);
+    status.last_loops.iter().for_each(|said| println!("  {}", worded(said)));
+}
+
+fn draw_file(file: &Path, dot: bool) -> Result<(), Failure> {
+    let shape = tree::Shape::of(&read(file)?).map_err(|complaints| {
+        Failure::Refused(complaints.iter().map(|c| c.to_string()).collect::<Vec<_>>().join("\n"))
+    })?;
+    print!("{}", if dot { draw::dot(&shape) } else { draw::svg(&shape) });
+    Ok(())
+}
--- a/crates/control/src/serve.rs
+++ b/crates/control/src/serve.rs
@@ -3,7 +3,6 @@
 use crate::feed;
 use crate::journal::Journal;
 use async_channel::Receiver;
-use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
 use event_listener::Event;
 use futures_lite::future::or;
@@ -14,7 +13,7 @@
 use harestage_shape::plan;
 use harestage_shape::tree::Shape;
 use harestage_sockets::clock::Clock;
-use harestage_sockets::{Executor, Stream};
+use harestage_sockets::{Spawner, Stream};
 use slog::{Logger, error, info, warn};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, VecDeque};
@@ -98,7 +97,7 @@
 
     /// Serves until `stop` says so; an error if the journal could not be written.
     pub fn serve(self, stop: Receiver<()>) -> Result<(), String> {
-        let executor = Rc::new(LocalExecutor::new());
+        let spawner = Spawner::default();
         let service = self.service.clone();
         info!(service.log, "ready"; "term" => service.control.borrow().term(),
             "version" => service.control.borrow().shape().version());
@@ -106,11 +105,11 @@
             let _ = stop.recv().await;
         };
         let work = async {
-            executor.spawn(listen(service.clone(), self.listener, executor.clone())).detach();
-            executor.spawn(branch_feeds(service.clone(), executor.clone())).detach();
+            spawner.spawn(listen(service.clone(), self.listener, spawner.clone()));
+            spawner.spawn(branch_feeds(service.clone(), spawner.clone()));
             or(turns(&service), stopped).await;
         };
-        async_io::block_on(executor.run(work));
+        spawner.block_on(work);
         if service.broken.get() { Err("the journal can't be written".into()) } else { Ok(()) }
     }
 }
@@ -163,7 +162,7 @@
     }
 }
 
-async fn listen(service: Rc<Service>, listener: Async<TcpListener>, executor: Executor) {
+async fn listen(service: Rc<Service>, listener: Async<TcpListener>, spawner: Spawner) {
     loop {
         match listener.accept().await {
             Ok((stream, _)) if service.connections.get() < MOST_CONNECTIONS => {
@@ -177,7 +176,7 @@
                         info!(service.log, "connection ended"; "why" => why);
                     }
                 };
-                executor.spawn(serve).detach();
+                spawner.spawn(serve);
             }
             Ok(_) => {}
             Err(why) => {
@@ -345,7 +344,7 @@
 }
 
 /// Opens a listener for each branch that has a feed, as versions name them, and closes those that are named no more.
-async fn branch_feeds(service: Rc<Service>, executor: Executor) {
+async fn branch_feeds(service: Rc<Service>, spawner: Spawner) {
     let mut open: BTreeMap<(String, String), async_executor::Task<()>> = BTreeMap::new();
     loop {
         let wanted = feed::feeds(service.control.borrow().shape());
@@ -358,7 +357,8 @@
             let Some(address) = address.parse::<SocketAddr>().ok() else { continue };
             match Async::<TcpListener>::bind(address) {
                 Ok(listener) => {
-                    let task = executor.spawn(one_feed(service.clone(), listener, branch, executor.clone()));
+                    let task =
+                        spawner.spawn_held(one_feed(service.clone(), listener, branch, spawner.clone()));
                     open.insert(feed, task);
                 }
                 Err(why) => warn!(service.log, "branch feed not open"; "branch" => branch, "why" => %why),
@@ -368,7 +368,7 @@
     }
 }
 
-async fn one_feed(service: Rc<Service>, listener: Async<TcpListener>, branch: String, executor: Executor) {
+async fn one_feed(service: Rc<Service>, listener: Async<TcpListener>, branch: String, spawner: Spawner) {
     info!(service.log, "branch feed open"; "branch" => &branch);
     while let Ok((stream, _)) = listener.accept().await {
         if service.connections.get() >= MOST_CONNECTIONS {
@@ -381,7 +381,7 @@
             service.connections.set(service.connections.get() - 1);
             info!(service.log, "router's feed ended"; "branch" => branch, "why" => why.err().unwrap_or_default());
         };
-        executor.spawn(serve).detach();
+        spawner.spawn(serve);
     }
 }
 
--- a/crates/hub/src/desk.rs
+++ b/crates/hub/src/desk.rs
@@ -210,9 +210,14 @@
     orders: Vec<Order>,
     loops: Vec<LoopSeen>,
     fetches: Ring,
+    asked: Ring,
     lasted: Ring,
     usual: Option<f64>,
     hits: Ring,
+    /// It follows no service.
+    alone: bool,
+    /// False: the way that others are measured against, in which a new home fetches without asking the old one.
+    hands_over: bool,
 }
 
 impl Desk {
@@ -236,14 +241,27 @@
             orders: Vec::new(),
             loops: Vec::new(),
             fetches: Ring::new(Span::millis(250), 4),
+            asked: Ring::new(Span::millis(250), 4),
             lasted: Ring::new(Span::millis(250), 4),
             usual: None,
             hits: Ring::new(Span::millis(1_000), 4),
+            alone: false,
+            hands_over: true,
         };
         desk.set(now + BEAT, Bell::Beat);
         desk
     }
 
+    /// There is no service to get a part of the archive from: the shape's equal part is this hub's.
+    pub fn stands_alone(&mut self) {
+        self.alone = true;
+    }
+
+    /// For measurements only: homes move without being handed over.
+    pub fn without_handover(&mut self) {
+        self.hands_over = false;
+    }
+
     pub fn next_bell(&self) -> Option<Moment> {
         self.bells.first_key_value().map(|((at, _), _)| *at)
     }
@@ -297,6 +315,8 @@
             None => Shape::of(form),
         };
         let Ok(shape) = shape else { return };
+        let (archive, tops) = (shape.archive(), shape.tops().len());
+        self.share.known(archive.capacity * archive.stops_at, tops, self.alone);
         self.versions.enter(shape, now);
         // What rests may have another way now.
         let mut resting: Vec<Key> = self
@@ -321,6 +341,7 @@
     // What comes from below.
 
     fn asked(&mut self, conn: ConnNo, asked: Asked, now: Moment) {
+        self.asked.add(now, 1.0);
         // Writes run at the archive and nowhere else: two of them must never pass for one fill.
         if !asked.body.is_empty() {
             return self.refuse(conn, asked.id, Word::Full, Remark::SourceRefused);
@@ -522,7 +543,7 @@
     /// Asks former homes, takes its turn at the gate, and fetches.
     fn reach_archive(&mut self, key: Key, me: PlaceIx, shape: &Shape, now: Moment) {
         let Some(fill) = self.fills.get_mut(&key) else { return };
-        let right = match fill.forced {
+        let right = match fill.forced || !self.hands_over {
             true => Right::Own,
             false => self.shield.right(&self.versions, me, key, &fill.asked, now),
         };
@@ -729,7 +750,12 @@
     /// Ends a fill that no way is left for. Each of those who wait hears it at once.
     fn fail(&mut self, key: Key, remark: Remark) {
         let Some(fill) = self.end(key) else { return };
-        let word = if remark == Remark::SourceLacks { Word::Lacks } else { Word::Failed };
+        let word = match remark {
+            Remark::SourceLacks => Word::Lacks,
+            // Nothing was sent anywhere: a hub that knows no shape yet.
+            Remark::NoPlace => Word::Full,
+            _ => Word::Failed,
+        };
         fill.waiters.iter().for_each(|waiter| self.refuse(waiter.conn, waiter.id, word, remark));
     }
 
@@ -826,9 +852,9 @@
         let recent = self.lasted.mean(now).filter(|_| self.lasted.count(now) >= 5.0);
         let usual = self.usual.filter(|usual| *usual > 0.0);
         let slowness = recent.zip(usual).map_or(1.0, |(recent, usual)| recent / usual.max(0.005));
-        let fetches = self.fetches.count(now);
+        let (fetches, asked) = (self.fetches.count(now), self.asked.count(now));
         let loops = std::mem::take(&mut self.loops);
-        Report { version: self.version(), slowness, fetches, wants, part, loops }
+        Report { version: self.version(), slowness, asked, fetches, wants, part, loops }
     }
 
     /// Fills under way, and the share of hits.
--- a/crates/hub/src/net/down.rs
+++ b/crates/hub/src/net/down.rs
@@ -7,7 +7,7 @@
 use async_io::{Async, Timer};
 use event_listener::Event;
 use futures_lite::future::or;
-use harestage_sockets::{Executor, Source, Stream, write_packets};
+use harestage_sockets::{Source, Spawner, Stream, write_packets};
 use harestage_wire::Packet;
 use harestage_wire::fields::Hex;
 use harestage_wire::node::{self, Given, ToNode};
@@ -165,7 +165,7 @@
     }
 }
 
-pub(crate) async fn listen(below: Rc<Below>, listener: Async<TcpListener>, executor: Executor) {
+pub(crate) async fn listen(below: Rc<Below>, listener: Async<TcpListener>, spawner: Spawner) {
     loop {
         while below.lines.borrow().len() >= below.limits.connections {
             let room = below.room.listen();
@@ -178,8 +178,8 @@
         match listener.accept().await {
             Ok((stream, _)) => {
                 let (no, line) = below.enter();
-                let served = serve(below.clone(), no, line, Rc::new(stream), executor.clone());
-                executor.spawn(served).detach();
+                let served = serve(below.clone(), no, line, Rc::new(stream), spawner.clone());
+                spawner.spawn(served);
             }
             Err(why) => {
                 warn!(below.log, "accept failed"; "why" => %why);
@@ -199,9 +199,9 @@
     }
 }
 
-async fn serve(below: Rc<Below>, no: ConnNo, line: Rc<Line>, stream: Rc<Stream>, executor: Executor) {
+async fn serve(below: Rc<Below>, no: ConnNo, line: Rc<Line>, stream: Rc<Stream>, spawner: Spawner) {
     let _ = stream.get_ref().set_nodelay(true);
-    let writer = executor.spawn(write(below.clone(), line.clone(), stream.clone()));
+    let writer = spawner.spawn_held(write(below.clone(), line.clone(), stream.clone()));
     let ended = async {
         while !line.ending.get() {
             line.ended.listen().await;
--- a/crates/hub/src/net/mod.rs
+++ b/crates/hub/src/net/mod.rs
@@ -7,9 +7,9 @@
 use crate::desk::{Desk, News, Order};
 use crate::start::HubStart;
 use async_channel::Receiver;
-use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
 use futures_lite::future::or;
+use harestage_sockets::Spawner;
 use harestage_sockets::clock::Clock;
 use slog::{Logger, info, warn};
 use std::cell::RefCell;
@@ -43,15 +43,21 @@
 
     /// Serves until `stop` says so, or everyone who could say it is gone.
     pub fn serve(self, log: Logger, stop: Receiver<()>) {
-        let executor = Rc::new(LocalExecutor::new());
-        async_io::block_on(executor.run(run(self, log, stop, executor.clone())));
+        let spawner = Spawner::default();
+        spawner.block_on(run(self, log, stop, spawner.clone()));
     }
 }
 
-async fn run(hub: Hub, log: Logger, stop: Receiver<()>, executor: Rc<LocalExecutor<'static>>) {
+async fn run(hub: Hub, log: Logger, stop: Receiver<()>, spawner: Spawner) {
     let Hub { start, listener } = hub;
     let clock = Clock::start();
     let mut desk = Desk::open(&start.name, start.bounds.clone(), start.contents.clone(), clock.now());
+    if start.control.is_none() {
+        desk.stands_alone();
+    }
+    if !start.hands_over {
+        desk.without_handover();
+    }
     if let Some(shape) = start.shape.clone() {
         desk.step(clock.now(), std::iter::once(News::Told(Box::new(shape))));
     }
@@ -59,13 +65,13 @@
     let limits = Rc::new(start.limits);
     let (inbox, news) = async_channel::bounded(limits.inbox);
     let below = down::Below::new(limits.clone(), shared.clone(), inbox.clone(), log.clone());
-    let above = up::Above::new(limits.clone(), inbox.clone(), log.clone(), executor.clone());
+    let above = up::Above::new(limits.clone(), inbox.clone(), log.clone(), spawner.clone());
     info!(log, "ready"; "hub" => &start.name, "listen" => ?listener.get_ref().local_addr().ok());
-    executor.spawn(down::listen(below.clone(), listener, executor.clone())).detach();
-    executor.spawn(down::sweep(below.clone())).detach();
+    spawner.spawn(down::listen(below.clone(), listener, spawner.clone()));
+    spawner.spawn(down::sweep(below.clone()));
     if let Some(control) = start.control {
         let follower = follow::Follower { limits, shared: shared.clone(), inbox, log: log.clone(), control };
-        executor.spawn(follow::follow(follower)).detach();
+        spawner.spawn(follow::follow(follower));
     }
     let stopped = async {
         let _ = stop.recv().await;
--- a/crates/hub/src/net/up.rs
+++ b/crates/hub/src/net/up.rs
@@ -6,7 +6,7 @@
 use async_io::{Async, Timer};
 use event_listener::Event;
 use futures_lite::future::or;
-use harestage_sockets::{Executor, Source, Stream, write_packets};
+use harestage_sockets::{Source, Spawner, Stream, write_packets};
 use harestage_wire::Packet;
 use harestage_wire::fields::{self, Hex};
 use harestage_wire::node::{self, Request};
@@ -49,15 +49,15 @@
 
 pub(crate) struct Above {
     common: Rc<Common>,
-    executor: Executor,
+    spawner: Spawner,
     wires: HashMap<Peer, Rc<Wire>>,
     on: HashMap<PullNo, Rc<Wire>>,
 }
 
 impl Above {
-    pub fn new(limits: Rc<Limits>, inbox: Sender<News>, log: Logger, executor: Executor) -> Above {
+    pub fn new(limits: Rc<Limits>, inbox: Sender<News>, log: Logger, spawner: Spawner) -> Above {
         let common = Rc::new(Common { limits, inbox, log });
-        Above { common, executor, wires: HashMap::new(), on: HashMap::new() }
+        Above { common, spawner, wires: HashMap::new(), on: HashMap::new() }
     }
 
     pub fn pull(&mut self, pull: PullNo, to: &Peer, ask: Ask) {
@@ -107,8 +107,8 @@
             wire.queue.borrow_mut().push_back(Queued { pull: None, packet: node::write_gauges(WHO) });
         }
         self.wires.insert(to.clone(), wire.clone());
-        let run = run(self.common.clone(), self.executor.clone(), wire.clone(), to.clone());
-        self.executor.spawn(run).detach();
+        let run = run(self.common.clone(), self.spawner.clone(), wire.clone(), to.clone());
+        self.spawner.spawn(run);
         wire
     }
 
@@ -135,12 +135,12 @@
     }
 }
 
-async fn run(common: Rc<Common>, executor: Executor, wire: Rc<Wire>, to: Peer) {
+async fn run(common: Rc<Common>, spawner: Spawner, wire: Rc<Wire>, to: Peer) {
     match connect(&common, &to).await {
         Ok(stream) => {
             wire.heard.set(Instant::now());
             let stream = Rc::new(stream);
-            let writer = executor.spawn(write(wire.clone(), stream.clone()));
+            let writer = spawner.spawn_held(write(wire.clone(), stream.clone()));
             let why = or(or(read(&common, &wire, &stream, &to), writer), watch(&common, &wire)).await;
             if !wire.open.borrow().is_empty() {
                 warn!(common.log, "source lost"; "source" => &to.name, "why" => why);
--- a/crates/hub/src/start.rs
+++ b/crates/hub/src/start.rs
@@ -68,6 +68,8 @@
     pub shape: Option<ShapeForm>,
     pub bounds: Bounds,
     pub limits: Limits,
+    /// Whether homes are handed over when they move. No file can say no: only measurements do, for their baseline.
+    pub hands_over: bool,
 }
 
 /// Sizes, counts and times that bound the sockets of a hub.
@@ -136,6 +138,7 @@
             contents: contents.collect(),
             shape: self.shape,
             bounds,
+            hands_over: true,
             limits: Limits::new(within("connections", self.connections, 65_536)?, memory),
             name: self.name,
         })
--- a/crates/hub/tests/desks.rs
+++ b/crates/hub/tests/desks.rs
@@ -374,6 +374,23 @@
     }
 }
 
+/// A change of many steps: who was home before the first of them still has what nobody asked the new home for yet.
+#[test]
+fn a_home_that_moved_many_versions_ago_is_still_asked_first() {
+    let mut net = Net::new(&["a", "b", "c"], 1);
+    ["a", "b", "c"].into_iter().for_each(|name| net.tell(name, &tops(1, &["a", "b"])));
+    (0..60).for_each(|object| net.ask("a", object, object + 1));
+    net.run(500);
+    for version in 2..30 {
+        ["a", "b", "c"].into_iter().for_each(|name| net.tell(name, &tops(version, &["a", "b", "c"])));
+        net.run(300);
+    }
+    (0..60).for_each(|object| net.ask("c", object, object + 101));
+    net.run(500);
+    assert!((101..161).all(|no| net.answered_well(no)));
+    assert_eq!(net.fetches.len(), 60, "nothing is fetched again");
+}
+
 /// The old home dies while its right is being asked for, or while it fetches: nobody waits long, and what had been
 /// fetched by others is not fetched again.
 #[test]
--- /dev/null
+++ b/crates/measure/src/main.rs
@@ -0,0 +1,26 @@
+//! `harestage-measure AREA`: measures one area and its baseline in one run, writes target/measure/AREA.json, and fails
+//! where a bound is broken. QUICK=1 takes loads that CI can bear.
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    let area = std::env::args().nth(1).unwrap_or_default();
+    let quick = std::env::var("QUICK").is_ok_and(|quick| quick == "1");
+    let figures = match area.as_str() {
+        "shape" => harestage_measure::shape::measure(quick),
+        _ => {
+            eprintln!("harestage-measure: {area:?} is no area; areas: shape");
+            return ExitCode::FAILURE;
+        }
+    };
+    let folder = std::path::Path::new("target/measure");
+    let path = folder.join(format!("{}.json", figures.area()));
+    let wrote = std::fs::create_dir_all(folder).and_then(|()| std::fs::write(&path, figures.json()));
+    if let Err(why) = wrote {
+        eprintln!("harestage-measure: {}: {why}", path.display());
+        return ExitCode::FAILURE;
+    }
+    print!("{}", figures.json());
+    let broken = figures.broken();
+    broken.iter().for_each(|line| eprintln!("harestage-measure: {line}"));
+    if broken.is_empty() { ExitCode::SUCCESS } else { ExitCode::FAILURE }
+}
--- /dev/null
+++ b/crates/measure/src/rig.rs
@@ -0,0 +1,240 @@
+//! Hubs, a control service and an archive on loopback, each on threads of its own, to be started, killed and cut off.
+use async_channel::Sender;
+use harestage_control::serve::Keeper;
+use harestage_hub::net::Hub;
+use harestage_hub::start::{ContentFile, HubFile, HubStart};
+use harestage_shape::control::{Said, Status};
+use harestage_shape::form::{ArchiveForm, HubForm, ShapeForm};
+use harestage_shape::lines::{Answer, Call, line};
+use harestage_standins::Archive;
+use slog::{Discard, Logger, o};
+use std::io::{BufRead, BufReader, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::thread::JoinHandle;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+/// Something that runs on a thread of its own until it is told to end.
+pub struct Running {
+    stop: Option<Sender<()>>,
+    thread: Option<JoinHandle<()>>,
+}
+
+impl Running {
+    /// Ends it. Its sockets close with it, as those of a process that is killed do.
+    pub fn kill(&mut self) {
+        drop(self.stop.take());
+        self.thread.take().into_iter().for_each(|thread| drop(thread.join()));
+    }
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+/// A loopback address that nobody else of this process is given; the port is free when this returns.
+pub fn free_address() -> SocketAddr {
+    static NEXT: AtomicU64 = AtomicU64::new(1);
+    let n = NEXT.fetch_add(1, Ordering::Relaxed);
+    let pid = u64::from(std::process::id());
+    let host = format!("127.{}.{}.{}:0", 80 + pid % 100, n / 250 % 250, 2 + n % 250);
+    let listener = TcpListener::bind(&host).expect("loopback has room");
+    listener.local_addr().expect("it is bound")
+}
+
+pub fn unix_ms() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64
+}
+
+fn quiet() -> Logger {
+    Logger::root(Discard, o!())
+}
+
+/// Starts a hub; `shape` is what it knows before the service tells it anything.
+pub fn start_hub(
+    name: &str,
+    listen: SocketAddr,
+    control: Option<SocketAddr>,
+    shape: Option<ShapeForm>,
+) -> Running {
+    start_hub_as(name, listen, control, shape, true)
+}
+
+/// The same; `hands_over` is no for the way that others are measured against.
+pub fn start_hub_as(
+    name: &str,
+    listen: SocketAddr,
+    control: Option<SocketAddr>,
+    shape: Option<ShapeForm>,
+    hands_over: bool,
+) -> Running {
+    let file = HubFile {
+        name: name.into(),
+        listen: listen.to_string(),
+        control: control.map(|control| control.to_string()),
+        memory_mb: 64,
+        connections: 512,
+        fills: 4_096,
+        contents: vec![ContentFile { name: "clip".into(), fresh_ms: 0, grace_ms: 0 }],
+        shape,
+    };
+    let start = HubStart { hands_over, ..file.checked().expect("the rig's files are right") };
+    // The port of one that has just been killed may need a moment.
+    let until = Instant::now() + Duration::from_secs(5);
+    let hub = loop {
+        match Hub::bind(start.clone()) {
+            Ok(hub) => break hub,
+            Err(why) => assert!(Instant::now() < until, "{why}"),
+        }
+        std::thread::sleep(Duration::from_millis(20));
+    };
+    let (stop, stopped) = async_channel::bounded(1);
+    let thread = std::thread::spawn(move || hub.serve(quiet(), stopped));
+    Running { stop: Some(stop), thread: Some(thread) }
+}
+
+/// Starts the control service on a journal.
+pub fn start_control(listen: SocketAddr, journal: &Path, first: &ShapeForm) -> Result<Running, String> {
+    let (stop, stopped) = async_channel::bounded(1);
+    let (tell, told) = std::sync::mpsc::channel();
+    let (journal, first) = (journal.to_path_buf(), first.clone());
+    let thread = std::thread::spawn(move || {
+        let until = Instant::now() + Duration::from_secs(5);
+        let keeper = loop {
+            match Keeper::open(listen, &journal, Some(&first), quiet()) {
+                Err(why) if why.contains("listened on") && Instant::now() < until => {
+                    std::thread::sleep(Duration::from_millis(20));
+                }
+                other => break other,
+            }
+        };
+        match keeper {
+            Ok(keeper) => {
+                let _ = tell.send(Ok(()));
+                let _ = keeper.serve(stopped);
+            }
+            Err(why) => drop(tell.send(Err(why))),
+        }
+    });
+    told.recv().map_err(|why| why.to_string())??;
+    Ok(Running { stop: Some(stop), thread: Some(thread) })
+}
+
+/// A file in a folder of its own, which goes with this.
+pub struct Scratch(PathBuf);
+
+impl Scratch {
+    pub fn new() -> Scratch {
+        static NEXT: AtomicU64 = AtomicU64::new(1);
+        let n = NEXT.fetch_add(1, Ordering::Relaxed);
+        let path = std::env::temp_dir().join(format!("harestage-rig-{}-{n}", std::process::id()));
+        std::fs::create_dir_all(&path).expect("the temporary folder can be written");
+        Scratch(path)
+    }
+
+    pub fn file(&self, name: &str) -> PathBuf {
+        self.0.join(name)
+    }
+}
+
+impl Default for Scratch {
+    fn default() -> Self {
+        Scratch::new()
+    }
+}
+
+impl Drop for Scratch {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.0);
+    }
+}
+
+pub fn archive_form(archive: &Archive, capacity: f64) -> ArchiveForm {
+    ArchiveForm {
+        name: "archive".into(),
+        address: archive.address.to_string(),
+        capacity,
+        stops_at: 2.5,
+        stops_within_ms: 3_000,
+    }
+}
+
+/// A hub at the top, warm unless it says when it started.
+pub fn hub_form(name: &str, address: SocketAddr, capacity: f64, since_ms: u64) -> HubForm {
+    HubForm {
+        name: name.into(),
+        address: address.to_string(),
+        site: String::new(),
+        capacity,
+        passes: 0.3,
+        since_ms,
+        cold_from: 0.1,
+        cold_ms: 6_000,
+        falls_at: 2.0,
+        falls_within_ms: 1_000,
+        up: vec!["archive".into()],
+    }
+}
+
+/// A call to the service, and the first thing that it answers.
+pub fn call(control: SocketAddr, call: &Call) -> std::io::Result<Answer> {
+    let mut lines = open_call(control, call)?;
+    next(&mut lines)
+}
+
+pub fn open_call(control: SocketAddr, call: &Call) -> std::io::Result<BufReader<TcpStream>> {
+    let stream = TcpStream::connect_timeout(&control, Duration::from_secs(1))?;
+    stream.set_read_timeout(Some(Duration::from_secs(60)))?;
+    (&stream).write_all(&line(call))?;
+    Ok(BufReader::new(stream))
+}
+
+pub fn next(lines: &mut BufReader<TcpStream>) -> std::io::Result<Answer> {
+    let mut text = String::new();
+    if lines.read_line(&mut text)? == 0 {
+        return Err(std::io::ErrorKind::UnexpectedEof.into());
+    }
+    serde_json::from_str(&text).map_err(std::io::Error::other)
+}
+
+pub fn status(control: SocketAddr) -> std::io::Result<Status> {
+    match call(control, &Call::Status)? {
+        Answer::Status(status) => Ok(*status),
+        other => Err(std::io::Error::other(format!("{other:?}"))),
+    }
+}
+
+/// Applies a shape and waits for its end; false if it was given up, or why it was refused.
+pub fn apply(control: SocketAddr, form: &ShapeForm, by: &str) -> Result<bool, String> {
+    let form = Box::new(form.clone());
+    let apply = Call::Apply { form, expect: None, by: by.into() };
+    let mut lines = open_call(control, &apply).map_err(|why| why.to_string())?;
+    loop {
+        match next(&mut lines).map_err(|why| why.to_string())? {
+            Answer::Said(Said::Ended { complete, .. }) => return Ok(complete),
+            Answer::Said(_) => {}
+            Answer::Refused(lines) => return Err(lines.join("\n")),
+            other => return Err(format!("{other:?}")),
+        }
+    }
+}
+
+/// Waits until all these members go by the newest version; false if they have not in time.
+pub fn all_follow(control: SocketAddr, members: &[&str], within: Duration) -> bool {
+    let until = Instant::now() + within;
+    while Instant::now() < until {
+        if let Ok(status) = status(control) {
+            let follows = |name: &&str| {
+                status.members.iter().any(|member| member.name == **name && member.version == status.version)
+            };
+            if members.iter().all(follows) {
+                return true;
+            }
+        }
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    false
+}
--- a/crates/shape/src/control.rs
+++ b/crates/shape/src/control.rs
@@ -106,6 +106,9 @@
     /// The version that it goes by.
     pub version: u64,
     pub slowness: f64,
+    /// Pulls a second that came to it, from branches and from other hubs.
+    #[serde(default)]
+    pub asked: f64,
     /// Fetches a second at the archive, those that it would have begun, and the part it has taken in last.
     pub fetches: f64,
     pub wants: f64,
@@ -271,7 +274,8 @@
         }
         let finite = |n: f64| if n.is_finite() { n.max(0.0) } else { 0.0 };
         let (slowness, fetches) = (finite(report.slowness), finite(report.fetches));
-        let heard = Heard { version: report.version, at: now, slowness, fetches };
+        let asked = finite(report.asked);
+        let heard = Heard { version: report.version, at: now, slowness, asked, fetches };
         self.members.insert(hub.into(), heard);
         let mut effects = Vec::new();
         for seen in report.loops.iter().take(MOST_LOOPS) {
@@ -380,6 +384,8 @@
             version: heard.version,
             silent_ms: now.since(heard.at).as_micros() / 1_000,
             slowness: heard.slowness,
+            asked: heard.asked,
+            allowance: self.shape.find(name).map_or(0.0, |at| self.shape.allowance(at, now)),
             fetches: heard.fetches,
         });
         let archive = self.shape.archive();
@@ -439,5 +445,8 @@
     pub version: u64,
     pub silent_ms: u64,
     pub slowness: f64,
+    /// Pulls a second that came to it, and how many would push it over at its age.
+    pub asked: f64,
+    pub allowance: f64,
     pub fetches: f64,
 }
--- a/crates/shape/src/parts.rs
+++ b/crates/shape/src/parts.rs
@@ -147,7 +147,7 @@
 
 /// Fetches that a hub may begin at once after a rest, in seconds of its part.
 const BURST: f64 = 0.25;
-/// A floor of its own before any word from the service: the service may be away when a hub starts.
+/// Fetches a second before any shape is known.
 const UNTOLD: f64 = 1.0;
 
 /// The hub's side: a bucket that fills at the rate of its part.
@@ -167,6 +167,15 @@
         Share { part, until: now, tokens: 1.0, filled: now, wanted: 0.0, asked: now }
     }
 
+    /// A hub that follows no service has an equal part of the whole, by the shape that it was given; one that follows a
+    /// service has its floor of it until it hears from it.
+    pub fn known(&mut self, stopping: f64, most: usize, alone: bool) {
+        let whole = if alone { GIVEN_OUT + FLOORS } else { FLOORS };
+        if self.part.number == 0 {
+            self.part.floor = stopping * whole / most.max(1) as f64;
+        }
+    }
+
     /// What to ask the service for: fetches a second wanted since the last time, and the number of the part that was
     /// taken in last.
     pub fn ask(&mut self, now: Moment) -> (f64, u64) {
--- a/crates/shape/src/run.rs
+++ b/crates/shape/src/run.rs
@@ -52,6 +52,8 @@
     pub at: Moment,
     /// Time to the first byte against its usual one; 1 is usual.
     pub slowness: f64,
+    /// Pulls a second that came to it.
+    pub asked: f64,
     /// Fetches a second at the archive.
     pub fetches: f64,
 }
--- a/crates/shape/src/tree.rs
+++ b/crates/shape/src/tree.rs
@@ -4,7 +4,7 @@
 use crate::form::{ArchiveForm, BranchForm, HubForm, ShapeForm};
 use harestage::time::{Moment, Span};
 use imbl::OrdMap;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
 
 /// Index of a place, the same in all versions that were derived from one another.
@@ -282,6 +282,9 @@
 #[derive(Default)]
 pub struct Versions {
     alive: BTreeMap<u64, Alive>,
+    /// The last shapes with each other set of hubs at the top, and until when they were in force: by them it is known
+    /// who was home before. A change of many steps moves homes with few of them.
+    former: VecDeque<(Moment, Shape)>,
 }
 
 struct Alive {
@@ -290,12 +293,20 @@
     since: Moment,
 }
 
+/// Sets of hubs at the top that are remembered.
+const MOST_FORMER: usize = 8;
+
 impl Versions {
     /// Takes a version in. False: it is not newer than what is known, told twice or out of order.
     pub fn enter(&mut self, shape: Shape, now: Moment) -> bool {
         if self.alive.last_key_value().is_some_and(|(last, _)| *last >= shape.version) {
             return false;
         }
+        if let Some((_, last)) = self.alive.last_key_value().filter(|(_, last)| last.shape.tops != shape.tops)
+        {
+            self.former.push_front((now, last.shape.clone()));
+            self.former.truncate(MOST_FORMER);
+        }
         self.alive.insert(shape.version, Alive { shape, users: 0, since: now });
         self.tidy();
         true
@@ -303,9 +314,7 @@
 
     fn tidy(&mut self) {
         let last = self.alive.last_key_value().map_or(0, |(last, _)| *last);
-        // The one before the last is kept in any case: it tells who was home before.
-        let before = self.alive.range(..last).next_back().map_or(last, |(before, _)| *before);
-        self.alive.retain(|version, alive| *version >= before || alive.users > 0);
+        self.alive.retain(|version, alive| *version == last || alive.users > 0);
         while self.alive.len() > MOST_ALIVE {
             self.alive.pop_first();
         }
@@ -319,17 +328,9 @@
         self.alive.last_key_value().map(|(_, alive)| alive.since)
     }
 
-    /// The version before the newest.
-    pub fn before(&self) -> Option<&Shape> {
-        self.alive.values().rev().nth(1).map(|alive| &alive.shape)
-    }
-
-    /// Versions older than the newest that came within `span`, newest first.
+    /// Shapes that were in force within `span`, each with another set of hubs at the top than the next; newest first.
     pub fn lately(&self, now: Moment, span: Span) -> impl Iterator<Item = &Shape> {
-        // A version was in force until the next came.
-        let followed = self.alive.values().zip(self.alive.values().skip(1));
-        let recent = followed.filter(move |(_, next)| now.since(next.since) < span);
-        recent.map(|(alive, _)| &alive.shape).collect::<Vec<_>>().into_iter().rev()
+        self.former.iter().filter(move |(until, _)| now.since(*until) < span).map(|(_, shape)| shape)
     }
 
     /// The version asked for, or the newest where that is no longer kept.
@@ -353,7 +354,8 @@
 
     /// All that are kept, newest first.
     pub fn all(&self) -> impl Iterator<Item = &Shape> {
-        self.alive.values().rev().map(|alive| &alive.shape)
+        let alive = self.alive.values().rev().map(|alive| &alive.shape);
+        alive.chain(self.former.iter().map(|(_, shape)| shape))
     }
 
     pub fn alive(&self) -> usize {
--- a/crates/sockets/src/lib.rs
+++ b/crates/sockets/src/lib.rs
@@ -2,16 +2,56 @@
 //! and packets are written whole, several with one call to the system.
 pub mod clock;
 
-use async_executor::LocalExecutor;
+use async_executor::{LocalExecutor, Task};
 use async_io::Async;
 use futures_lite::{AsyncReadExt, AsyncWriteExt};
 use harestage_wire::Packet;
 use harestage_wire::resp::{Decoder, LINE_END};
+use std::cell::RefCell;
 use std::io::{self, IoSlice};
 use std::net::TcpStream;
 use std::rc::Rc;
 
 pub type Executor = Rc<LocalExecutor<'static>>;
+
+/// Starts tasks that end with their program: those of an executor hold it themselves, so that it alone would never go,
+/// nor would the sockets that they hold.
+#[derive(Clone, Default)]
+pub struct Spawner {
+    executor: Executor,
+    tasks: Rc<RefCell<Vec<Task<()>>>>,
+}
+
+/// Ended tasks are looked for when so many have been started since.
+const LOOK_AFTER: usize = 64;
+
+impl Spawner {
+    pub fn spawn(&self, work: impl Future<Output = ()> + 'static) {
+        let task = self.executor.spawn(work);
+        let mut tasks = self.tasks.borrow_mut();
+        if tasks.len() % LOOK_AFTER == LOOK_AFTER - 1 {
+            tasks.retain(|task| !task.is_finished());
+        }
+        tasks.push(task);
+    }
+
+    /// A task that ends when its handle is dropped.
+    pub fn spawn_held<T: 'static>(&self, work: impl Future<Output = T> + 'static) -> Task<T> {
+        self.executor.spawn(work)
+    }
+
+    /// Runs `main` to its end, and everything that was started beside it for as long; then ends all of that.
+    pub fn block_on<T>(&self, main: impl Future<Output = T>) -> T {
+        let end = async_io::block_on(self.executor.run(main));
+        // Dropping a task only marks it; its turn drops what it holds, and that may mark others.
+        loop {
+            let ended = std::mem::take(&mut *self.tasks.borrow_mut());
+            if !self.executor.try_tick() && ended.is_empty() {
+                return end;
+            }
+        }
+    }
+}
 pub type Stream = Async<TcpStream>;
 
 /// The reading side of a connection.
--- /dev/null
+++ b/crates/standins/src/archive.rs
@@ -0,0 +1,139 @@
+//! The one place that has everything: it slows down when it is crowded, stops when it is pushed too far for too long,
+//! and counts what it was asked for.
+use crate::talk;
+use bytes::Bytes;
+use harestage::state::Remark;
+use harestage_wire::node::{Asked, CopyTag, Given, Word};
+use serde::Deserialize;
+use std::collections::HashMap;
+use std::net::{SocketAddr, TcpListener};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+/// How an archive behaves.
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct ArchiveScript {
+    /// Fetches a second that it answers without slowing down.
+    pub capacity: f64,
+    pub answers_in_ms: u64,
+    /// Times its capacity at which it stops, if it is asked so much for `stops_within_ms`.
+    pub stops_at: f64,
+    pub stops_within_ms: u64,
+    pub stops_for_ms: u64,
+    pub body_bytes: usize,
+}
+
+impl Default for ArchiveScript {
+    fn default() -> Self {
+        ArchiveScript {
+            capacity: 200.0,
+            answers_in_ms: 15,
+            stops_at: 2.5,
+            stops_within_ms: 3_000,
+            stops_for_ms: 2_000,
+            body_bytes: 2_000,
+        }
+    }
+}
+
+#[derive(Default)]
+struct Seen {
+    /// Every fetch, by when it came.
+    fetches: Vec<(Instant, u64)>,
+    /// How often each object was changed.
+    changes: HashMap<u64, u64>,
+    stopped_until: Option<Instant>,
+    stops: usize,
+}
+
+#[derive(Clone)]
+pub struct Archive {
+    pub address: SocketAddr,
+    script: Arc<Mutex<ArchiveScript>>,
+    seen: Arc<Mutex<Seen>>,
+}
+
+impl Archive {
+    pub fn open(script: ArchiveScript) -> Archive {
+        Archive::on(TcpListener::bind("127.0.0.1:0").expect("loopback has room"), script)
+    }
+
+    pub fn on(listener: TcpListener, script: ArchiveScript) -> Archive {
+        let address = listener.local_addr().expect("it is bound");
+        let archive = Archive { address, script: Arc::new(Mutex::new(script)), seen: Arc::default() };
+        let serving = archive.clone();
+        talk::serve(listener, move |asked| serving.reply(asked));
+        archive
+    }
+
+    fn reply(&self, asked: Asked) -> Option<Given> {
+        let script = *self.script.lock().expect("no holder panics");
+        let (stopped, slow, change) = {
+            let mut seen = self.seen.lock().expect("no holder panics");
+            let now = Instant::now();
+            let object = asked.object.number();
+            seen.fetches.push((now, object));
+            let window = Duration::from_millis(script.stops_within_ms);
+            let lately = seen.fetches.iter().rev().take_while(|(at, _)| now - *at < window).count() as f64;
+            let load = lately / window.as_secs_f64() / script.capacity;
+            if load > script.stops_at && seen.stopped_until.is_none_or(|until| until < now) {
+                seen.stopped_until = Some(now + Duration::from_millis(script.stops_for_ms));
+                seen.stops += 1;
+            }
+            let second = Duration::from_millis(500);
+            let now_load = seen.fetches.iter().rev().take_while(|(at, _)| now - *at < second).count() as f64;
+            let crowded = (now_load / second.as_secs_f64() / script.capacity).max(1.0);
+            let stopped = seen.stopped_until.is_some_and(|until| until > now);
+            (stopped, crowded * crowded, seen.changes.get(&object).copied().unwrap_or(0))
+        };
+        if stopped {
+            return None;
+        }
+        std::thread::sleep(Duration::from_millis(script.answers_in_ms).mul_f64(slow.min(50.0)));
+        let object = asked.object.number();
+        let digest = Bytes::from(format!("{object:x}v{change}p{}", asked.part));
+        let dated_ms = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64;
+        let copy = Some(CopyTag { digest, dated_ms, group: Some((object % 256) as u32) });
+        let body = Bytes::from(vec![(object % 251) as u8; script.body_bytes]);
+        Some(Given { id: asked.id, word: Word::Good, remark: Remark::Nothing, first_ms: 0.0, copy, body })
+    }
+
+    /// From now on it behaves so.
+    pub fn behave(&self, script: ArchiveScript) {
+        *self.script.lock().expect("no holder panics") = script;
+    }
+
+    pub fn fetches(&self) -> usize {
+        self.seen.lock().expect("no holder panics").fetches.len()
+    }
+
+    /// The most that any one object was fetched since then, and how many were fetched more than once.
+    pub fn most_of_one(&self, since: Instant) -> (usize, usize) {
+        let mut by_object: HashMap<u64, usize> = HashMap::new();
+        let seen = self.seen.lock().expect("no holder panics");
+        let lately = seen.fetches.iter().filter(|(at, _)| *at >= since);
+        lately.for_each(|(_, object)| *by_object.entry(*object).or_default() += 1);
+        (by_object.values().copied().max().unwrap_or(0), by_object.values().filter(|n| **n > 1).count())
+    }
+
+    /// The load of its worst such window since then, as a part of its stopping point.
+    pub fn peak_share(&self, since: Instant) -> f64 {
+        let script = *self.script.lock().expect("no holder panics");
+        let window = Duration::from_millis(script.stops_within_ms);
+        let seen = self.seen.lock().expect("no holder panics");
+        let at: Vec<Instant> = seen.fetches.iter().map(|(at, _)| *at).filter(|at| *at >= since).collect();
+        let (mut from, mut most) = (0, 0);
+        for (to, now) in at.iter().enumerate() {
+            while *now - at[from] > window {
+                from += 1;
+            }
+            most = most.max(to + 1 - from);
+        }
+        most as f64 / window.as_secs_f64() / (script.capacity * script.stops_at)
+    }
+
+    pub fn stops(&self) -> usize {
+        self.seen.lock().expect("no holder panics").stops
+    }
+}
--- /dev/null
+++ b/crates/standins/src/edge.rs
@@ -0,0 +1,89 @@
+//! An edge cache: keeps what it gets, and fills what it lacks from the source that a pull names.
+use crate::talk::{self, Caller};
+use bytes::Bytes;
+use harestage::state::Remark;
+use harestage_wire::fields::Hex;
+use harestage_wire::node::{Asked, CopyTag, Given, Request, Word};
+use std::collections::HashMap;
+use std::net::{SocketAddr, TcpListener};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+type Store = HashMap<(u64, u32), (CopyTag, Bytes)>;
+
+#[derive(Clone)]
+pub struct Edge {
+    pub address: SocketAddr,
+    /// Where the sources are that pulls may name.
+    pub sources: Arc<Mutex<HashMap<String, SocketAddr>>>,
+    store: Arc<Mutex<Store>>,
+    /// Fills that went to each source.
+    filled: Arc<Mutex<HashMap<String, usize>>>,
+    ids: Arc<AtomicU64>,
+}
+
+impl Edge {
+    pub fn open() -> Edge {
+        Edge::on(TcpListener::bind("127.0.0.1:0").expect("loopback has room"))
+    }
+
+    pub fn on(listener: TcpListener) -> Edge {
+        let edge = Edge {
+            address: listener.local_addr().expect("it is bound"),
+            sources: Arc::default(),
+            store: Arc::default(),
+            filled: Arc::default(),
+            ids: Arc::new(AtomicU64::new(1)),
+        };
+        let serving = edge.clone();
+        talk::serve(listener, move |asked| Some(serving.reply(asked)));
+        edge
+    }
+
+    pub fn filled_from(&self, source: &str) -> usize {
+        self.filled.lock().expect("no holder panics").get(source).copied().unwrap_or(0)
+    }
+
+    fn reply(&self, asked: Asked) -> Given {
+        let key = (asked.object.number(), asked.part);
+        let held = self.store.lock().expect("no holder panics").get(&key).cloned();
+        let given =
+            |word, remark, copy, body| Given { id: asked.id, word, remark, first_ms: 0.0, copy, body };
+        if let Some((copy, body)) = held {
+            return given(Word::Good, Remark::Hit, Some(copy), body);
+        }
+        let source = asked.source.as_ref().map(|name| String::from_utf8_lossy(name).into_owned());
+        let Some(source) = source else { return given(Word::Lacks, Remark::Nothing, None, Bytes::new()) };
+        match self.fill(&asked, &source) {
+            Some((copy, body, remark)) => {
+                if asked.rank > 0 {
+                    self.store.lock().expect("no holder panics").insert(key, (copy.clone(), body.clone()));
+                }
+                given(Word::Good, remark, Some(copy), body)
+            }
+            None => given(Word::Failed, Remark::SourceLost, None, Bytes::new()),
+        }
+    }
+
+    fn fill(&self, asked: &Asked, source: &str) -> Option<(CopyTag, Bytes, Remark)> {
+        let address = *self.sources.lock().expect("no holder panics").get(source)?;
+        *self.filled.lock().expect("no holder panics").entry(source.into()).or_default() += 1;
+        let content = String::from_utf8_lossy(&asked.content).into_owned();
+        let id = self.ids.fetch_add(1, Ordering::Relaxed);
+        let request = Request {
+            id: Hex::of(id),
+            part: asked.part,
+            no_copy: asked.no_copy,
+            only_held: asked.only_held,
+            oldest_ms: asked.oldest_ms,
+            ..talk::pull(id, &content, asked.object.number(), asked.waits_ms)
+        };
+        let reply = Caller::to(address).ok()?.ask(&request, Duration::from_millis(asked.waits_ms))?;
+        let remark = match reply.answer.remark {
+            Remark::FromOrigin => Remark::FromOrigin,
+            _ => Remark::Filled,
+        };
+        (reply.answer.word == Word::Good).then_some((reply.copy?, reply.answer.body, remark))
+    }
+}
--- /dev/null
+++ b/crates/standins/src/script.rs
@@ -0,0 +1,111 @@
+//! Stand-ins by a script in JSON: which there are, and what happens to their links when.
+use crate::{Archive, ArchiveScript, Edge, Fault, Link};
+use serde::Deserialize;
+use std::collections::HashMap;
+use std::net::{SocketAddr, TcpListener};
+use std::time::{Duration, Instant};
+
+#[derive(Clone, Debug, Default, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Script {
+    pub archives: Vec<ArchivePlace>,
+    pub edges: Vec<EdgePlace>,
+    pub links: Vec<LinkPlace>,
+    /// How long it all lasts; absent: ten minutes.
+    pub lasts_ms: Option<u64>,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ArchivePlace {
+    pub listen: SocketAddr,
+    #[serde(default)]
+    pub behaves: ArchiveScript,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct EdgePlace {
+    pub listen: SocketAddr,
+    /// Where the sources are that pulls may name.
+    pub sources: HashMap<String, SocketAddr>,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct LinkPlace {
+    pub listen: SocketAddr,
+    pub to: SocketAddr,
+    #[serde(default)]
+    pub faults: Vec<FaultAt>,
+}
+
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct FaultAt {
+    pub at_ms: u64,
+    pub fault: Fault,
+}
+
+/// Why a script can't be played; the text names key or address.
+#[derive(Debug)]
+pub enum ScriptError {
+    Malformed(serde_json::Error),
+    /// Stand-ins stay on loopback.
+    NotLoopback(SocketAddr),
+    NotBound(SocketAddr, std::io::Error),
+}
+
+impl std::fmt::Display for ScriptError {
+    fn fmt(&self, f: &mut std::fmt::Formatter) -> std::fmt::Result {
+        match self {
+            Self::Malformed(why) => write!(f, "{why}"),
+            Self::NotLoopback(address) => write!(f, "{address} is not on loopback"),
+            Self::NotBound(address, why) => write!(f, "{address}: {why}"),
+        }
+    }
+}
+
+impl Script {
+    pub fn read(text: &[u8]) -> Result<Script, ScriptError> {
+        serde_json::from_slice(text).map_err(ScriptError::Malformed)
+    }
+
+    /// Plays it to its end.
+    pub fn play(&self) -> Result<(), ScriptError> {
+        let archives = self.archives.iter().map(|place| Ok(Archive::on(bind(place.listen)?, place.behaves)));
+        let archives: Vec<Archive> = archives.collect::<Result<_, ScriptError>>()?;
+        for place in &self.edges {
+            let edge = Edge::on(bind(place.listen)?);
+            edge.sources.lock().expect("no holder panics").extend(place.sources.clone());
+        }
+        let mut due = Vec::new();
+        for place in &self.links {
+            let link = Link::on(bind(place.listen)?, place.to);
+            due.extend(place.faults.iter().map(|fault| (fault.at_ms, link.clone(), fault.fault)));
+        }
+        due.sort_by_key(|(at, _, _)| *at);
+        let (begun, lasts) = (Instant::now(), Duration::from_millis(self.lasts_ms.unwrap_or(600_000)));
+        for (at, link, fault) in due {
+            std::thread::sleep(Duration::from_millis(at).saturating_sub(begun.elapsed()));
+            link.set(fault);
+        }
+        std::thread::sleep(lasts.saturating_sub(begun.elapsed()));
+        for archive in archives {
+            eprintln!(
+                "archive {}: {} fetches, stopped {} times",
+                archive.address,
+                archive.fetches(),
+                archive.stops()
+            );
+        }
+        Ok(())
+    }
+}
+
+fn bind(address: SocketAddr) -> Result<TcpListener, ScriptError> {
+    if !address.ip().is_loopback() {
+        return Err(ScriptError::NotLoopback(address));
+    }
+    TcpListener::bind(address).map_err(|why| ScriptError::NotBound(address, why))
+}
