--- a/crates/control/src/serve.rs
+++ b/crates/control/src/serve.rs
@@ -6,13 +6,13 @@
 use async_io::{Async, Timer};
 use event_listener::Event;
 use futures_lite::future::or;
-use futures_lite::{AsyncReadExt, AsyncWriteExt};
 use harestage_shape::control::{Control, Effect, Said};
 use harestage_shape::form::ShapeForm;
 use harestage_shape::lines::{self, Answer, Call, FromMember, ToMember};
 use harestage_shape::plan;
 use harestage_shape::tree::Shape;
 use harestage_sockets::clock::Clock;
+use harestage_sockets::lines::{Lines, within, write_text};
 use harestage_sockets::{Spawner, Stream};
 use slog::{Logger, error, info, warn};
 use std::cell::{Cell, RefCell};
@@ -187,51 +187,17 @@
     }
 }
 
-/// Reads lines within a bound.
-struct Lines<'a> {
-    stream: &'a Stream,
-    text: Vec<u8>,
-    most: usize,
+async fn in_time<T>(work: impl Future<Output = Result<T, String>>) -> Result<T, String> {
+    within(STALL, "too slow", work).await
 }
 
-impl Lines<'_> {
-    /// The next line without its end, or why there is none; an empty reason is a close between two lines.
-    async fn next(&mut self) -> Result<Vec<u8>, String> {
-        let (mut piece, mut looked) = (vec![0; 16 << 10], 0);
-        loop {
-            if let Some(at) = self.text[looked..].iter().position(|b| *b == b'\n') {
-                let mut line: Vec<u8> = self.text.drain(..=looked + at).collect();
-                line.pop();
-                return Ok(line);
-            }
-            looked = self.text.len();
-            if looked > self.most {
-                return Err("a line past the bound".into());
-            }
-            match (&mut &*self.stream).read(&mut piece).await {
-                Ok(0) => return Err(if looked == 0 { String::new() } else { "closed in a line".into() }),
-                Ok(bytes) => self.text.extend_from_slice(&piece[..bytes]),
-                Err(why) => return Err(why.to_string()),
-            }
-        }
-    }
-}
-
-async fn within<T>(work: impl Future<Output = Result<T, String>>) -> Result<T, String> {
-    let late = async {
-        Timer::after(STALL).await;
-        Err("too slow".to_string())
-    };
-    or(work, late).await
-}
-
-async fn write(mut stream: &Stream, text: &[u8]) -> Result<(), String> {
-    within(async { stream.write_all(text).await.map_err(|why| why.to_string()) }).await
+async fn write(stream: &Stream, text: &[u8]) -> Result<(), String> {
+    write_text(stream, text, STALL).await
 }
 
 async fn first_line(service: &Service, stream: &Stream) -> String {
-    let mut lines = Lines { stream, text: Vec::new(), most: LONGEST_LINE };
-    let line = match within(lines.next()).await {
+    let mut lines = Lines::new(stream, LONGEST_LINE);
+    let line = match in_time(lines.next()).await {
         Ok(line) => line,
         Err(why) => return why,
     };
@@ -278,7 +244,7 @@
 /// Reports of a member, each answered.
 async fn hear(service: &Service, lines: &mut Lines<'_>, name: &str) -> String {
     loop {
-        let line = match within(lines.next()).await {
+        let line = match in_time(lines.next()).await {
             Ok(line) => line,
             Err(why) => return why,
         };
@@ -292,7 +258,7 @@
             (part.map_or(beat, ToMember::Part), effects)
         };
         service.carry_out(effects);
-        if let Err(why) = write(lines.stream, &lines::line(&answer)).await {
+        if let Err(why) = write(lines.stream(), &lines::line(&answer)).await {
             return why;
         }
     }
@@ -387,8 +353,8 @@
 
 /// The platform's control feed to one router: `SUB N`, then an event for each later version, without a gap.
 async fn router_feed(service: &Service, stream: &Stream, branch: &str) -> Result<(), String> {
-    let mut lines = Lines { stream, text: Vec::new(), most: 256 };
-    let line = within(lines.next()).await?;
+    let mut lines = Lines::new(stream, 256);
+    let line = in_time(lines.next()).await?;
     let first = std::str::from_utf8(&line).ok().and_then(|line| line.trim_end().strip_prefix("SUB "));
     let mut last: u64 = first.and_then(|n| n.parse().ok()).ok_or("no subscription")?;
     loop {
--- a/crates/hub/src/desk.rs
+++ b/crates/hub/src/desk.rs
@@ -142,6 +142,8 @@
     held: Option<Bytes>,
     /// It did not begin the fill.
     joined: bool,
+    /// A hub of ours: told also what the platform's protocol has no field for.
+    ours: bool,
 }
 
 enum Stage {
@@ -173,6 +175,8 @@
     rank: u8,
     no_copy: bool,
     begun: Moment,
+    /// When its last pull went out.
+    sent: Moment,
     until: Moment,
     again: u32,
     /// It broke a circle: it fetches for all in it, whoever is home.
@@ -189,6 +193,37 @@
     Beat,
 }
 
+/// How long something takes now, against what it usually takes.
+struct Pace {
+    recent: Ring,
+    usual: Option<f64>,
+}
+
+/// Of each new value in the usual one.
+const PACE_WEIGHT: f64 = 0.02;
+/// Fewer in a second say nothing, nor does what takes less than so many seconds.
+const PACE_LEAST: (f64, f64) = (5.0, 0.005);
+
+impl Default for Pace {
+    fn default() -> Pace {
+        Pace { recent: Ring::new(Span::millis(250), 4), usual: None }
+    }
+}
+
+impl Pace {
+    fn add(&mut self, now: Moment, seconds: f64) {
+        self.recent.add(now, seconds);
+        let usual = self.usual.unwrap_or(seconds);
+        self.usual = Some(usual + (seconds - usual) * PACE_WEIGHT);
+    }
+
+    /// 1 is usual.
+    fn slowness(&self, now: Moment) -> f64 {
+        let recent = self.recent.mean(now).filter(|_| self.recent.count(now) >= PACE_LEAST.0);
+        recent.zip(self.usual).map_or(1.0, |(recent, usual)| recent / usual.max(PACE_LEAST.1))
+    }
+}
+
 /// One hub.
 pub struct Desk {
     name: String,
@@ -211,8 +246,9 @@
     loops: Vec<LoopSeen>,
     fetches: Ring,
     asked: Ring,
-    lasted: Ring,
-    usual: Option<f64>,
+    /// How long fills took, and fetches at the archive among them.
+    lasted: Pace,
+    fetched: Pace,
     hits: Ring,
     /// It follows no service.
     alone: bool,
@@ -242,8 +278,8 @@
             loops: Vec::new(),
             fetches: Ring::new(Span::millis(250), 4),
             asked: Ring::new(Span::millis(250), 4),
-            lasted: Ring::new(Span::millis(250), 4),
-            usual: None,
+            lasted: Pace::default(),
+            fetched: Pace::default(),
             hits: Ring::new(Span::millis(1_000), 4),
             alone: false,
             hands_over: true,
@@ -361,7 +397,7 @@
         if let Some(copy) = good {
             let aged = fresh.is_some_and(|fresh| now.since(copy.dated) > fresh);
             let remark = if aged { Remark::Aged } else { Remark::Hit };
-            let given = give(asked.id, &copy, asked.held.as_ref(), remark, 0.0);
+            let given = give(asked.id, &copy, asked.held.as_ref(), asked.way.is_some(), remark, 0.0);
             self.orders.push(Order::Answer { conn, given });
             if aged && asked.renew && !self.fills.contains_key(&key) && self.fills.len() < self.bounds.fills {
                 self.begin(key, &asked, now);
@@ -390,7 +426,7 @@
     fn hand_over(&mut self, conn: ConnNo, id: Hex, reply: Reply, good: Option<Copy>) {
         match (reply, good) {
             (Reply::Held, Some(copy)) => {
-                let given = give(id, &copy, None, Remark::Hit, 0.0);
+                let given = give(id, &copy, None, true, Remark::Hit, 0.0);
                 self.orders.push(Order::Answer { conn, given });
             }
             (Reply::UnderWay, _) => self.refuse(conn, id, Word::Lacks, Remark::Joined),
@@ -416,7 +452,8 @@
             self.begin(key, &asked, now);
         }
         let until = now + Span::millis(asked.waits_ms);
-        let waiter = Waiter { conn, id: asked.id, until, oldest, held: asked.held.clone(), joined: !new };
+        let (held, ours) = (asked.held.clone(), asked.way.is_some());
+        let waiter = Waiter { conn, id: asked.id, until, oldest, held, joined: !new, ours };
         self.waiting.insert((conn, asked.id), key);
         self.set(until, Bell::Waiter(key));
         if let Some(fill) = self.fills.get_mut(&key) {
@@ -445,6 +482,7 @@
             rank: rank_of(asked),
             no_copy: asked.no_copy,
             begun: now,
+            sent: now,
             until: now + Span::millis(asked.waits_ms),
             again: 0,
             forced: false,
@@ -581,7 +619,7 @@
         let until = until.map(|until| until.max(now + Span::millis(1)));
         let bell = until.map(|until| self.set(until, Bell::Fill(key)));
         let Some(fill) = self.fills.get_mut(&key) else { return };
-        fill.stage = stage;
+        (fill.stage, fill.sent) = (stage, now);
         if let Some(before) = std::mem::replace(&mut fill.bell, bell) {
             self.bells.remove(&before);
         }
@@ -715,8 +753,9 @@
         let Some(mut fill) = self.end(key) else { return };
         let lasted = now.since(fill.begun).seconds();
         self.lasted.add(now, lasted);
-        let usual = self.usual.unwrap_or(lasted);
-        self.usual = Some(usual + (lasted - usual) * 0.02);
+        if fetched {
+            self.fetched.add(now, now.since(fill.sent).seconds());
+        }
         let rank = if fill.no_copy { 0 } else { fill.rank };
         self.store.put(key, copy.clone(), rank);
         let (too_old, served): (Vec<_>, Vec<_>) = std::mem::take(&mut fill.waiters)
@@ -730,7 +769,7 @@
                 (false, false) => Remark::Filled,
             };
             let first_ms = (lasted * 1e5).round() / 1e2;
-            let given = give(waiter.id, &copy, waiter.held.as_ref(), remark, first_ms);
+            let given = give(waiter.id, &copy, waiter.held.as_ref(), waiter.ours, remark, first_ms);
             self.orders.push(Order::Answer { conn: waiter.conn, given });
         }
         // Who joined asking for a younger copy than the fill was begun for gets one of its own.
@@ -849,12 +888,10 @@
     /// For the control service, some times a second.
     pub fn report(&mut self, now: Moment) -> Report {
         let (wants, part) = self.share.ask(now);
-        let recent = self.lasted.mean(now).filter(|_| self.lasted.count(now) >= 5.0);
-        let usual = self.usual.filter(|usual| *usual > 0.0);
-        let slowness = recent.zip(usual).map_or(1.0, |(recent, usual)| recent / usual.max(0.005));
+        let (slowness, archive_slowness) = (self.lasted.slowness(now), self.fetched.slowness(now));
         let (fetches, asked) = (self.fetches.count(now), self.asked.count(now));
         let loops = std::mem::take(&mut self.loops);
-        Report { version: self.version(), slowness, asked, fetches, wants, part, loops }
+        Report { version: self.version(), slowness, archive_slowness, asked, fetches, wants, part, loops }
     }
 
     /// Fills under way, and the share of hits.
@@ -885,11 +922,12 @@
     Some(Peer { name: name.clone(), address: address.clone() })
 }
 
-fn give(id: Hex, copy: &Copy, held: Option<&Bytes>, remark: Remark, first_ms: f64) -> Given {
+/// The answer that a copy is; its group is told to hubs of ours only.
+fn give(id: Hex, copy: &Copy, held: Option<&Bytes>, ours: bool, remark: Remark, first_ms: f64) -> Given {
     let still_good = held == Some(&copy.digest);
     let (word, body) =
         if still_good { (Word::StillGood, Bytes::new()) } else { (Word::Good, copy.body.clone()) };
     let dated_ms = copy.dated.micros() / 1_000;
-    let tag = CopyTag { digest: copy.digest.clone(), dated_ms, group: copy.group };
+    let tag = CopyTag { digest: copy.digest.clone(), dated_ms, group: copy.group.filter(|_| ours) };
     Given { id, word, remark, first_ms, copy: Some(tag), body }
 }
--- a/crates/hub/src/net/down.rs
+++ b/crates/hub/src/net/down.rs
@@ -1,6 +1,6 @@
 //! Connections from below. Each has a reader, which stops while too much is open or unsent, and a writer; one sweep
 //! ends those that stall. Noise ends its own connection and nothing else.
-use super::Shared;
+use super::{Shared, WHO};
 use crate::desk::{ConnNo, News};
 use crate::start::Limits;
 use async_channel::Sender;
@@ -219,7 +219,7 @@
 /// Reads until the other side closes, which says nothing, or sends what can't be read.
 async fn read(below: &Below, no: ConnNo, line: &Line, stream: &Stream) -> String {
     let limits = &below.limits;
-    let bounds = Bounds { items: limits.items, item_bytes: limits.body_bytes, item_room: ITEM_ROOM };
+    let bounds = Bounds { items: limits.items, item_bytes: limits.asked_bytes, item_room: ITEM_ROOM };
     let mut decoder = Decoder::new(bounds, READ_BUFFER);
     let mut source = Source::new(stream);
     loop {
@@ -248,13 +248,15 @@
             }
             ToNode::Chase(chase) => News::Chased(chase),
             ToNode::Health(tag) => {
-                below.queue(line, node::write_state(&tag, true, None, &below.shared.name));
+                below.queue(line, node::write_state(&tag, true, None, None));
                 continue;
             }
             ToNode::Gauges(tag) => {
                 let (fills, hits) = below.shared.desk.borrow().gauges(below.shared.clock.now());
+                // Only a hub of ours asks under this tag, and is told what the platform has no field for.
+                let own = (tag.as_ref() == WHO).then_some(below.shared.name.as_str());
                 let gauges = format!("inflight:{fills}/x0:{hits:.3}");
-                below.queue(line, node::write_state(&tag, true, Some(&gauges), &below.shared.name));
+                below.queue(line, node::write_state(&tag, true, Some(&gauges), own));
                 continue;
             }
         };
--- a/crates/hub/src/net/follow.rs
+++ b/crates/hub/src/net/follow.rs
@@ -4,16 +4,16 @@
 use crate::desk::News;
 use crate::start::Limits;
 use async_channel::Sender;
-use async_io::{Async, Timer};
+use async_io::Timer;
 use futures_lite::future::or;
-use futures_lite::{AsyncReadExt, AsyncWriteExt};
 use harestage::time::Moment;
 use harestage_shape::lines::{self, FromMember, ToMember};
 use harestage_sockets::Stream;
+use harestage_sockets::lines::{Lines, within, write_text};
 use slog::{Logger, info, warn};
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
-use std::net::{SocketAddr, TcpStream};
+use std::net::SocketAddr;
 use std::rc::Rc;
 
 pub(crate) struct Follower {
@@ -49,20 +49,11 @@
 }
 
 async fn connect(follower: &Follower) -> Result<Stream, String> {
-    let up = async {
-        let stream = Async::<TcpStream>::connect(follower.control).await.map_err(|why| why.to_string())?;
-        let hello = lines::subscribe(follower.shared.desk.borrow().version(), &follower.shared.name);
-        (&stream).write_all(hello.as_bytes()).await.map_err(|why| why.to_string())?;
-        Ok(stream)
-    };
-    let late = async {
-        Timer::after(follower.limits.connect).await;
-        Err("not up in time".to_string())
-    };
-    or(up, late).await
+    let hello = lines::subscribe(follower.shared.desk.borrow().version(), &follower.shared.name);
+    super::subscribe(follower.control, hello.as_bytes(), follower.limits.connect).await
 }
 
-async fn report(follower: &Follower, mut stream: &Stream, asked: &RefCell<VecDeque<Moment>>) -> String {
+async fn report(follower: &Follower, stream: &Stream, asked: &RefCell<VecDeque<Moment>>) -> String {
     loop {
         let now = follower.shared.clock.now();
         let report = follower.shared.desk.borrow_mut().report(now);
@@ -70,8 +61,9 @@
             return "it answers no report".into();
         }
         asked.borrow_mut().push_back(now);
-        if let Err(why) = stream.write_all(&lines::line(&FromMember::Report(report))).await {
-            return why.to_string();
+        let report = lines::line(&FromMember::Report(report));
+        if let Err(why) = write_text(stream, &report, follower.limits.control_silence).await {
+            return why;
         }
         Timer::after(follower.limits.report_every).await;
     }
@@ -79,35 +71,19 @@
 
 async fn read(
     follower: &Follower,
-    mut stream: &Stream,
+    stream: &Stream,
     term: &Cell<u64>,
     asked: &RefCell<VecDeque<Moment>>,
 ) -> String {
-    let mut text = Vec::new();
-    let mut piece = vec![0; 16 << 10];
+    let mut lines = Lines::new(stream, follower.limits.line_bytes);
     loop {
-        let some = async { stream.read(&mut piece).await.map_err(|why| why.to_string()) };
-        let silent = async {
-            Timer::after(follower.limits.control_silence).await;
-            Err("silent".to_string())
-        };
-        match or(some, silent).await {
-            Ok(0) => return "closed".into(),
-            Ok(bytes) => text.extend_from_slice(&piece[..bytes]),
+        let line = match within(follower.limits.control_silence, "silent", lines.next()).await {
+            Ok(line) => line,
             Err(why) => return why,
-        }
-        let mut done = 0;
-        while let Some(length) = text[done..].iter().position(|b| *b == b'\n') {
-            let line: Result<ToMember, _> = serde_json::from_slice(&text[done..done + length]);
-            done += length + 1;
-            let Ok(line) = line else { return "an unreadable line".into() };
-            if let Some(why) = take_in(follower, line, term, asked).await {
-                return why;
-            }
-        }
-        text.drain(..done);
-        if text.len() > follower.limits.line_bytes {
-            return "a line past the bound".into();
+        };
+        let Ok(line) = serde_json::from_slice(&line) else { return "an unreadable line".into() };
+        if let Some(why) = take_in(follower, line, term, asked).await {
+            return why;
         }
     }
 }
--- a/crates/hub/src/net/mod.rs
+++ b/crates/hub/src/net/mod.rs
@@ -2,6 +2,7 @@
 //! queue. Nothing here decides.
 mod down;
 mod follow;
+mod purges;
 mod up;
 
 use crate::desk::{Desk, News, Order};
@@ -9,12 +10,17 @@
 use async_channel::Receiver;
 use async_io::{Async, Timer};
 use futures_lite::future::or;
-use harestage_sockets::Spawner;
 use harestage_sockets::clock::Clock;
+use harestage_sockets::lines::{within, write_text};
+use harestage_sockets::{Spawner, Stream};
 use slog::{Logger, info, warn};
 use std::cell::RefCell;
-use std::net::{SocketAddr, TcpListener};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::rc::Rc;
+use std::time::Duration;
+
+/// The tag under which a hub asks another what it calls itself.
+const WHO: &[u8] = b"hub-who";
 
 /// What other tasks may ask of the desk, between two of its turns.
 pub(crate) struct Shared {
@@ -70,9 +76,13 @@
     spawner.spawn(down::listen(below.clone(), listener, spawner.clone()));
     spawner.spawn(down::sweep(below.clone()));
     if let Some(control) = start.control {
+        let (limits, inbox) = (limits.clone(), inbox.clone());
         let follower = follow::Follower { limits, shared: shared.clone(), inbox, log: log.clone(), control };
         spawner.spawn(follow::follow(follower));
     }
+    if let Some(feed) = start.feed {
+        spawner.spawn(purges::follow(feed, limits, inbox, log.clone()));
+    }
     let stopped = async {
         let _ = stop.recv().await;
     };
@@ -119,3 +129,13 @@
         }
     }
 }
+
+/// Connects, and says the first line.
+async fn subscribe(to: SocketAddr, hello: &[u8], time: Duration) -> Result<Stream, String> {
+    within(time, "not up in time", async {
+        let stream = Async::<TcpStream>::connect(to).await.map_err(|why| why.to_string())?;
+        write_text(&stream, hello, time).await?;
+        Ok(stream)
+    })
+    .await
+}
--- /dev/null
+++ b/crates/hub/src/net/purges.rs
@@ -0,0 +1,54 @@
+//! Hears of purges from a control feed in the platform's form, as routers do. What it tells of caches is not a hub's
+//! concern. A hub that starts holds nothing, so that no purge from before its start concerns it; after a break it asks
+//! for all that it missed.
+use super::subscribe;
+use crate::desk::News;
+use crate::start::Limits;
+use crate::store::Named;
+use async_channel::Sender;
+use async_io::Timer;
+use harestage_sockets::clock::unix_ms;
+use harestage_sockets::lines::{Lines, within};
+use harestage_wire::feed::{self, Line, Told, read_line};
+use slog::{Logger, info, warn};
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+pub(crate) async fn follow(from: SocketAddr, limits: Rc<Limits>, inbox: Sender<News>, log: Logger) {
+    let (mut last, mut down) = (0, false);
+    loop {
+        let why = stay(from, &limits, &inbox, &mut last).await.err().unwrap_or_default();
+        if !std::mem::replace(&mut down, true) {
+            warn!(log, "feed down"; "why" => &why, "last" => last);
+        }
+        Timer::after(limits.control_pause).await;
+        if last > 0 {
+            down = false;
+            info!(log, "feed again"; "after" => last);
+        }
+    }
+}
+
+/// Follows one connection to its end. Events that come twice are passed over; a gap ends it, and is asked for again.
+async fn stay(from: SocketAddr, limits: &Limits, inbox: &Sender<News>, last: &mut u64) -> Result<(), String> {
+    let stream = subscribe(from, &feed::subscribe(*last), limits.connect).await?;
+    let mut lines = Lines::new(&stream, limits.line_bytes);
+    loop {
+        let line = within(limits.control_silence, "silent", lines.next()).await?;
+        if line.iter().all(u8::is_ascii_whitespace) {
+            continue;
+        }
+        match read_line(&line).map_err(|why| format!("unreadable line: {why}"))? {
+            Line::Event(n, told) if n == *last + 1 || *last == 0 => {
+                if let Told::Purge { object, group, at_ms } = told {
+                    let named = object.map_or(Named::Group(group), Named::Object);
+                    let _ = inbox.send(News::Purged { named, at: unix_ms(at_ms) }).await;
+                }
+                *last = n;
+            }
+            Line::Event(n, _) | Line::Beat(n) if n <= *last => {}
+            Line::Beat(_) if *last == 0 => {}
+            Line::Event(n, _) | Line::Beat(n) => return Err(format!("event {n} follows {last}")),
+        }
+    }
+}
--- a/crates/hub/src/net/up.rs
+++ b/crates/hub/src/net/up.rs
@@ -1,5 +1,6 @@
 //! Connections to what a hub fills from: one each, so that a chase never overtakes the pull that it follows. Its end
 //! tells all that is open on it; a source that owes answers and says nothing for long is taken for gone.
+use super::WHO;
 use crate::desk::{Ask, News, Peer, PullNo};
 use crate::start::Limits;
 use async_channel::Sender;
@@ -23,8 +24,6 @@
 const READ_BUFFER: usize = 16 << 10;
 const LOOK: Duration = Duration::from_millis(100);
 const IDLE: Duration = Duration::from_secs(20);
-/// The tag under which a hub is asked what it calls itself.
-const WHO: &[u8] = b"who";
 
 struct Queued {
     pull: Option<PullNo>,
--- a/crates/hub/src/start.rs
+++ b/crates/hub/src/start.rs
@@ -21,6 +21,9 @@
     /// Where the control service is; absent: the shape below stays.
     #[serde(default)]
     pub control: Option<String>,
+    /// Where a control feed in the platform's form tells of purges; absent: nobody does.
+    #[serde(default)]
+    pub feed: Option<String>,
     /// Memory for copies, in megabytes.
     #[serde(default = "usual_memory")]
     pub memory_mb: u64,
@@ -64,6 +67,7 @@
     pub name: String,
     pub listen: SocketAddr,
     pub control: Option<SocketAddr>,
+    pub feed: Option<SocketAddr>,
     pub contents: HashMap<Bytes, Keeping>,
     pub shape: Option<ShapeForm>,
     pub bounds: Bounds,
@@ -86,6 +90,8 @@
     pub stall: Duration,
     pub idle: Duration,
     pub items: usize,
+    /// Of a message from below: a write that is to be refused, at most.
+    pub asked_bytes: usize,
     pub body_bytes: usize,
     pub connect: Duration,
     /// A source that owes answers and sends no byte for as long is taken for gone.
@@ -135,6 +141,7 @@
         Ok(HubStart {
             listen: address("listen", &self.listen)?,
             control: self.control.as_deref().map(|text| address("control", text)).transpose()?,
+            feed: self.feed.as_deref().map(|text| address("feed", text)).transpose()?,
             contents: contents.collect(),
             shape: self.shape,
             bounds,
@@ -148,6 +155,7 @@
 impl Limits {
     /// The bodies that the platform's protocol allows, at most.
     const BODY: usize = 240_000;
+    const WRITE: usize = 48_000;
 
     fn new(connections: usize, memory: usize) -> Limits {
         Limits {
@@ -159,6 +167,7 @@
             stall: Duration::from_secs(6),
             idle: Duration::from_secs(60),
             items: 8,
+            asked_bytes: Self::WRITE,
             body_bytes: Self::BODY,
             connect: Duration::from_millis(400),
             silence: Duration::from_millis(2_500),
--- a/crates/hub/tests/desks.rs
+++ b/crates/hub/tests/desks.rs
@@ -171,6 +171,7 @@
                 None => self.answers.push((conn, given)),
             },
             Order::Pull { pull, to, ask } if to.name == "archive" => {
+                assert_eq!(ask.way, None, "the archive is not ours, and knows no such field");
                 self.send(name, "archive", Message::Fetch(name.into(), pull, ask));
             }
             Order::Pull { pull, to, ask } => {
@@ -485,7 +486,9 @@
     );
     assert_eq!(ask(&mut net, 5, 1, &|_| {}), (Word::Good, Remark::FromOrigin));
     assert_eq!(ask(&mut net, 6, 1, &|a| a.only_held = true), (Word::Good, Remark::Hit));
-    let digest = net.answers.last().unwrap().1.copy.clone().unwrap().digest;
+    let copy = net.answers.last().unwrap().1.copy.clone().unwrap();
+    assert_eq!(copy.group, None, "a cache of the platform knows no such field");
+    let digest = copy.digest;
     assert_eq!(ask(&mut net, 7, 1, &|a| a.held = Some(digest.clone())), (Word::StillGood, Remark::Hit));
     assert_eq!(ask(&mut net, 8, 1, &|a| a.oldest_ms = Some(20)), (Word::Good, Remark::FromOrigin), "too old");
     let body = |a: &mut Asked| a.body = Bytes::from_static(b"filing");
--- a/crates/measure/src/lib.rs
+++ b/crates/measure/src/lib.rs
@@ -2,6 +2,7 @@
 //! measurement beside its baseline.
 pub mod branch;
 pub mod plain;
+pub mod purge;
 pub mod rig;
 pub mod script;
 pub mod shape;
--- a/crates/measure/src/main.rs
+++ b/crates/measure/src/main.rs
@@ -6,9 +6,10 @@
     let area = std::env::args().nth(1).unwrap_or_default();
     let quick = std::env::var("QUICK").is_ok_and(|quick| quick == "1");
     let figures = match area.as_str() {
+        "purge" => harestage_measure::purge::measure(quick),
         "shape" => harestage_measure::shape::measure(quick),
         _ => {
-            eprintln!("harestage-measure: {area:?} is no area; areas: shape");
+            eprintln!("harestage-measure: {area:?} is no area; areas: purge, shape");
             return ExitCode::FAILURE;
         }
     };
--- a/crates/measure/src/rig.rs
+++ b/crates/measure/src/rig.rs
@@ -71,17 +71,32 @@
     shape: Option<ShapeForm>,
     hands_over: bool,
 ) -> Running {
-    let file = HubFile {
+    let file =
+        HubFile { control: control.map(|control| control.to_string()), shape, ..hub_file(name, listen) };
+    run_hub(HubStart { hands_over, ..file.checked().expect("the rig's files are right") })
+}
+
+/// A hub that hears of purges from a control feed.
+pub fn start_hub_with_feed(name: &str, listen: SocketAddr, shape: ShapeForm, feed: SocketAddr) -> Running {
+    let file = HubFile { shape: Some(shape), feed: Some(feed.to_string()), ..hub_file(name, listen) };
+    run_hub(file.checked().expect("the rig's files are right"))
+}
+
+fn hub_file(name: &str, listen: SocketAddr) -> HubFile {
+    HubFile {
         name: name.into(),
         listen: listen.to_string(),
-        control: control.map(|control| control.to_string()),
+        control: None,
+        feed: None,
         memory_mb: 64,
         connections: 512,
         fills: 4_096,
         contents: vec![ContentFile { name: "clip".into(), fresh_ms: 0, grace_ms: 0 }],
-        shape,
-    };
-    let start = HubStart { hands_over, ..file.checked().expect("the rig's files are right") };
+        shape: None,
+    }
+}
+
+fn run_hub(start: HubStart) -> Running {
     // The port of one that has just been killed may need a moment.
     let until = Instant::now() + Duration::from_secs(5);
     let hub = loop {
--- a/crates/measure/tests/shape.rs
+++ b/crates/measure/tests/shape.rs
@@ -344,3 +344,41 @@
     let good = replies.iter().filter(|reply| reply.answer.word == Word::Good).count();
     assert_eq!(good, 30, "a silent hub costs its pulls a moment, and not their answer");
 }
+
+/// A purge on the control feed drops the copy, and what is asked for after it is fetched anew.
+#[test]
+fn a_hub_hears_of_purges_and_asks_for_what_it_missed() {
+    let (archive, address) = (archive(), free_address());
+    let feed = TcpListener::bind("127.0.0.1:0").unwrap();
+    let shape = ShapeForm {
+        version: 1,
+        archive: archive_form(&archive, 400.0),
+        hubs: vec![hub_form("a", address, 300.0, 0)],
+        branches: Vec::new(),
+    };
+    let _hub = start_hub_with_feed("a", address, shape, feed.local_addr().unwrap());
+    let caller = Caller::to(address).unwrap();
+    let fetch = |id: u64, object: u64| {
+        let reply = caller.ask(&pull(id, "clip", object, 2_000), LONG).expect("an answer");
+        assert_eq!(reply.answer.word, Word::Good);
+        reply.copy.unwrap().dated_ms
+    };
+    let before = [fetch(1, 5), fetch(2, 261)];
+    let listen = || {
+        let (stream, _) = feed.accept().unwrap();
+        let first = BufReader::new(stream.try_clone().unwrap()).lines().next().unwrap().unwrap();
+        (stream, first)
+    };
+    let (stream, first) = listen();
+    assert_eq!(first, "SUB 0");
+    let purge = |n: u64, what: &str| format!("{{\"n\":{n},\"purge\":{{{what},\"at\":{}}}}}\n", unix_ms());
+    (&stream).write_all(purge(1, "\"key\":\"0000000000000005\"").as_bytes()).unwrap();
+    std::thread::sleep(Duration::from_millis(100));
+    assert!(fetch(3, 5) > before[0] && fetch(4, 261) == before[1], "the object, and no other");
+    drop(stream);
+    let (stream, first) = listen();
+    assert_eq!(first, "SUB 1");
+    (&stream).write_all(purge(2, "\"group\":5").as_bytes()).unwrap();
+    std::thread::sleep(Duration::from_millis(100));
+    assert!(fetch(5, 261) > before[1], "261 is of group 5");
+}
--- /dev/null
+++ b/crates/purge/src/order.rs
@@ -0,0 +1,241 @@
+//! The one order of purges. Numbers have no gaps; each belongs to the term of the service that gave it. A service that
+//! has been replaced may go on giving numbers out: whoever has heard of a newer term takes none of them.
+use crate::scope::{BadScope, Scope};
+use serde::{Deserialize, Serialize};
+use std::collections::{HashMap, VecDeque};
+use std::fmt;
+
+/// Bytes of a key of repeats.
+pub const LONGEST_KEY: usize = 64;
+/// Keys that are remembered; past it the oldest are forgotten, and asked for again are new purges, which harm nobody.
+const MOST_KEYS: usize = 100_000;
+
+/// One purge, as it is written down and told.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Purge {
+    pub number: u64,
+    pub term: u64,
+    pub scope: Scope,
+    /// Unix milliseconds: copies given out by the archive up to then are old.
+    pub at_ms: u64,
+    pub tenant: u32,
+    /// Asked for again under the same key, it is the same purge.
+    pub key: String,
+}
+
+/// What stands in the log.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Entry {
+    /// A service has taken over.
+    Term {
+        term: u64,
+    },
+    Purge(Purge),
+    /// A member has confirmed all up to that number, under the number of its process.
+    Confirmed {
+        member: String,
+        start: u64,
+        upto: u64,
+    },
+    /// A purge has ended: the report was given.
+    Reported {
+        number: u64,
+    },
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Refused {
+    Bad(BadScope),
+    Key {
+        bytes: usize,
+    },
+    /// The tenant has asked for too many: it may come again after so many milliseconds.
+    Limit {
+        tenant: u32,
+        wait_ms: u64,
+    },
+    /// This key stands for another purge.
+    OtherScope {
+        key: String,
+        number: u64,
+    },
+}
+
+impl fmt::Display for Refused {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        match self {
+            Self::Bad(why) => write!(f, "{why}"),
+            Self::Key { bytes } => write!(f, "a key of {bytes} bytes, and 1 to {LONGEST_KEY} are allowed"),
+            Self::Limit { tenant, wait_ms } => {
+                write!(f, "tenant {tenant} has asked for too many purges: again in {wait_ms} ms")
+            }
+            Self::OtherScope { key, number } => {
+                write!(f, "key {key:?} stands for purge {number} of another scope")
+            }
+        }
+    }
+}
+
+/// Purges a second that a tenant may ask for, and how many at once after a rest.
+#[derive(Clone, Copy, Debug)]
+pub struct Limit {
+    pub rate: f64,
+    pub burst: f64,
+}
+
+/// The order as the service keeps it.
+pub struct Order {
+    term: u64,
+    last: u64,
+    live: VecDeque<Purge>,
+    keys: HashMap<(u32, String), u64>,
+    by_age: VecDeque<(u32, String)>,
+    limit: Limit,
+    buckets: HashMap<u32, (f64, u64)>,
+}
+
+/// What came of a wish for a purge.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Taken {
+    /// To be written down, synced, and only then told.
+    New(Purge),
+    /// It was asked for before, under this number.
+    Known(u64),
+}
+
+impl Order {
+    /// Takes the order up from a log: the next term, and all that stands in the entries that count.
+    pub fn recall(entries: impl IntoIterator<Item = Entry>, limit: Limit) -> (Order, Entry) {
+        let mut order = Order {
+            term: 0,
+            last: 0,
+            live: VecDeque::new(),
+            keys: HashMap::new(),
+            by_age: VecDeque::new(),
+            limit,
+            buckets: HashMap::new(),
+        };
+        for entry in entries {
+            match entry {
+                Entry::Term { term } => order.term = order.term.max(term),
+                // Of an older term, behind a newer one: written by a service that did not know yet.
+                Entry::Purge(purge) if purge.term == order.term && purge.number == order.last + 1 => {
+                    order.enter(purge)
+                }
+                _ => {}
+            }
+        }
+        order.term += 1;
+        let term = Entry::Term { term: order.term };
+        (order, term)
+    }
+
+    /// Asks for a purge at `now_ms`, Unix milliseconds.
+    pub fn ask(&mut self, scope: Scope, tenant: u32, key: &str, now_ms: u64) -> Result<Taken, Refused> {
+        scope.checked().map_err(Refused::Bad)?;
+        if !(1..=LONGEST_KEY).contains(&key.len()) {
+            return Err(Refused::Key { bytes: key.len() });
+        }
+        if let Some(number) = self.keys.get(&(tenant, key.to_string())).copied() {
+            let other = self.live.iter().any(|purge| purge.number == number && purge.scope != scope);
+            return match other {
+                true => Err(Refused::OtherScope { key: key.into(), number }),
+                false => Ok(Taken::Known(number)),
+            };
+        }
+        self.charge(tenant, now_ms)?;
+        let key = key.to_string();
+        let purge = Purge { number: self.last + 1, term: self.term, scope, at_ms: now_ms, tenant, key };
+        self.enter(purge.clone());
+        Ok(Taken::New(purge))
+    }
+
+    fn charge(&mut self, tenant: u32, now_ms: u64) -> Result<(), Refused> {
+        let Limit { rate, burst } = self.limit;
+        let (tokens, since) = self.buckets.entry(tenant).or_insert((burst, now_ms));
+        *tokens = (*tokens + now_ms.saturating_sub(*since) as f64 / 1e3 * rate).min(burst);
+        *since = now_ms.max(*since);
+        if *tokens < 1.0 {
+            let wait_ms = ((1.0 - *tokens) / rate.max(1e-9) * 1e3).ceil() as u64;
+            return Err(Refused::Limit { tenant, wait_ms });
+        }
+        *tokens -= 1.0;
+        Ok(())
+    }
+
+    fn enter(&mut self, purge: Purge) {
+        self.last = purge.number;
+        let key = (purge.tenant, purge.key.clone());
+        self.keys.insert(key.clone(), purge.number);
+        self.by_age.push_back(key);
+        while self.by_age.len() > MOST_KEYS {
+            if let Some(old) = self.by_age.pop_front() {
+                self.keys.remove(&old);
+            }
+        }
+        self.live.push_back(purge);
+    }
+
+    /// What follows a number, in order; none if some of it is no longer kept, so that all that lives has to be told.
+    pub fn after(&self, number: u64) -> Option<impl Iterator<Item = &Purge>> {
+        let first = self.live.front().map_or(self.last + 1, |purge| purge.number);
+        (number + 1 >= first).then(|| self.live.iter().skip((number + 1 - first) as usize))
+    }
+
+    /// Forgets what no living copy can be older than.
+    pub fn forget_before(&mut self, at_ms: u64) {
+        while self.live.front().is_some_and(|purge| purge.at_ms < at_ms) {
+            self.live.pop_front();
+        }
+    }
+
+    pub fn live(&self) -> impl Iterator<Item = &Purge> {
+        self.live.iter()
+    }
+
+    pub fn term(&self) -> u64 {
+        self.term
+    }
+
+    pub fn last(&self) -> u64 {
+        self.last
+    }
+}
+
+/// Where a member stands in the order: what it takes next, and from whom.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Place {
+    pub term: u64,
+    pub number: u64,
+}
+
+/// What a member makes of what it is told.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Heard {
+    /// To be applied.
+    Next,
+    /// It has it already.
+    Again,
+    /// Something is missing before it: to be asked for.
+    Gap,
+    /// From a service that was replaced: nothing of it counts.
+    Stale,
+}
+
+impl Place {
+    pub fn hear(&mut self, term: u64, number: u64) -> Heard {
+        if term < self.term {
+            return Heard::Stale;
+        }
+        self.term = term;
+        match number {
+            n if n <= self.number => Heard::Again,
+            n if n == self.number + 1 => {
+                self.number = n;
+                Heard::Next
+            }
+            _ => Heard::Gap,
+        }
+    }
+}
--- a/crates/shape/src/control.rs
+++ b/crates/shape/src/control.rs
@@ -106,6 +106,9 @@
     /// The version that it goes by.
     pub version: u64,
     pub slowness: f64,
+    /// Time of a fetch at the archive against its usual one.
+    #[serde(default)]
+    pub archive_slowness: f64,
     /// Pulls a second that came to it, from branches and from other hubs.
     #[serde(default)]
     pub asked: f64,
@@ -274,8 +277,8 @@
         }
         let finite = |n: f64| if n.is_finite() { n.max(0.0) } else { 0.0 };
         let (slowness, fetches) = (finite(report.slowness), finite(report.fetches));
-        let asked = finite(report.asked);
-        let heard = Heard { version: report.version, at: now, slowness, asked, fetches };
+        let (asked, archive_slowness) = (finite(report.asked), finite(report.archive_slowness));
+        let heard = Heard { version: report.version, at: now, slowness, archive_slowness, asked, fetches };
         self.members.insert(hub.into(), heard);
         let mut effects = Vec::new();
         for seen in report.loops.iter().take(MOST_LOOPS) {
--- a/crates/shape/src/run.rs
+++ b/crates/shape/src/run.rs
@@ -9,7 +9,7 @@
 /// Of the archive's stopping point: past the first no step goes out, past the second one is undone.
 const ARCHIVE_HOLDS: f64 = 0.7;
 const ARCHIVE_UNDOES: f64 = 0.85;
-/// Times a hub's usual time to the first byte.
+/// Times a hub's usual time for a fill, and the archive's for a fetch.
 const HUB_HOLDS: f64 = 3.0;
 const HUB_UNDOES: f64 = 8.0;
 /// What is past its mark for as long undoes the step that went out last; shorter peaks only hold the next.
@@ -52,6 +52,8 @@
     pub at: Moment,
     /// Time to the first byte against its usual one; 1 is usual.
     pub slowness: f64,
+    /// Time of a fetch at the archive against its usual one.
+    pub archive_slowness: f64,
     /// Pulls a second that came to it.
     pub asked: f64,
     /// Fetches a second at the archive.
@@ -74,6 +76,7 @@
     Resting,
     TooYoung { hub: String, age: Span, needed: Span },
     ArchiveBusy { share: f64 },
+    ArchiveSlow { slowness: f64 },
     HubSlow { hub: String, slowness: f64 },
     Unheard { place: String },
     NotYet,
@@ -88,6 +91,9 @@
                 write!(f, "{hub} is {:.1} s old and has to be {:.1} s", age.seconds(), needed.seconds())
             }
             Self::ArchiveBusy { share } => write!(f, "the archive is asked {share:.2} of its stopping point"),
+            Self::ArchiveSlow { slowness } => {
+                write!(f, "the archive is {slowness:.1} times slower than usual")
+            }
             Self::HubSlow { hub, slowness } => write!(f, "{hub} is {slowness:.1} times slower than usual"),
             Self::Unheard { place } => write!(f, "{place} has not said that it follows"),
             Self::NotYet => write!(f, "planned for later"),
@@ -273,6 +279,13 @@
     if share > archive {
         return Some(Hold::ArchiveBusy { share });
     }
+    // One hub that sees a slow archive may have a slow way there: half of those that fetch have to see it.
+    let mut seen: Vec<f64> =
+        view.members.values().filter(|m| m.fetches > 0.0).map(|m| m.archive_slowness).collect();
+    seen.sort_by(f64::total_cmp);
+    if let Some(slowness) = seen.get(seen.len() / 2).copied().filter(|slowness| *slowness > hub) {
+        return Some(Hold::ArchiveSlow { slowness });
+    }
     let slow = view.members.iter().find(|(_, heard)| heard.slowness > hub);
     slow.map(|(name, heard)| Hold::HubSlow { hub: name.clone(), slowness: heard.slowness })
 }
--- a/crates/shape/tests/plans.rs
+++ b/crates/shape/tests/plans.rs
@@ -182,6 +182,26 @@
     assert!(matches!(stages[1], Stage::Undone { .. }), "{stages:?}");
 }
 
+#[test]
+fn a_slow_archive_holds_when_half_of_those_that_fetch_see_it() {
+    let (mut runner, mut watch) = (runner(), Watch::new());
+    let stages = run(&mut runner, &mut watch, START, START + 4_000, |watch, version, ms| {
+        watch.see(version, ms);
+        let fetching = watch.members.values_mut();
+        fetching.for_each(|heard| (heard.fetches, heard.archive_slowness) = (1.0, 1.0));
+        watch.members.get_mut("a").unwrap().archive_slowness = 9.0;
+    });
+    assert!(!stages.is_empty(), "one of three sees it: its own way is slow");
+    let (mut runner, mut watch) = (self::runner(), Watch::new());
+    let stages = run(&mut runner, &mut watch, START, START + 4_000, |watch, version, ms| {
+        watch.see(version, ms);
+        let fetching = watch.members.values_mut();
+        fetching.for_each(|heard| (heard.fetches, heard.archive_slowness) = (1.0, 4.0));
+    });
+    let held = runner.turn(&watch.view(), at_ms(START + 4_000));
+    assert!(stages.is_empty() && matches!(held, Turn::Hold(Hold::ArchiveSlow { .. })), "{held:?}");
+}
+
 #[test]
 fn a_place_of_the_step_that_does_not_answer_undoes_it_and_others_are_passed_over() {
     let (mut runner, mut watch) = (runner(), Watch::new());
--- a/crates/sockets/src/lib.rs
+++ b/crates/sockets/src/lib.rs
@@ -1,6 +1,7 @@
 //! Reading and writing messages on sockets, the same for router and hub: decoders are filled straight from the socket,
 //! and packets are written whole, several with one call to the system.
 pub mod clock;
+pub mod lines;
 
 use async_executor::{LocalExecutor, Task};
 use async_io::Async;
--- a/crates/wire/src/node.rs
+++ b/crates/wire/src/node.rs
@@ -267,10 +267,11 @@
     Packet { head: resp::head(&[b"gauges"], tag.len()), body: Bytes::copy_from_slice(tag) }
 }
 
-/// The answer to `health` and, with a report, to `gauges`; `name` is what the node calls itself.
-pub fn write_state(tag: &[u8], well: bool, gauges: Option<&str>, name: &str) -> Packet {
+/// The answer to `health` and, with a report, to `gauges`; `name` is what a hub calls itself, for
+/// hubs of ours only.
+pub fn write_state(tag: &[u8], well: bool, gauges: Option<&str>, name: Option<&str>) -> Packet {
     let word: &[u8] = if well { b"READY" } else { b"AILING" };
-    let fields = Fields::default().with_some("gauges", gauges).with("name", name).or("-");
+    let fields = Fields::default().with_some("gauges", gauges).with_some("name", name).or("-");
     Packet { head: resp::head(&[tag, word, fields.as_bytes()], 0), body: Bytes::new() }
 }
 
