--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,6 +1,7 @@
 //! The command `harestage`.
 mod draw;
 mod log;
+mod purge;
 mod shape;
 
 use clap::{Parser, Subcommand};
@@ -42,6 +43,20 @@
         #[arg(long)]
         first: Option<PathBuf>,
     },
+    /// Run the service of purges.
+    Purges {
+        /// Address and port for hubs and clients.
+        #[arg(long)]
+        listen: SocketAddr,
+        /// The folder of its log.
+        #[arg(long)]
+        folder: PathBuf,
+    },
+    /// Ask for purges, and see what became of them.
+    Purge {
+        #[command(subcommand)]
+        what: purge::Purge,
+    },
     /// Run a router, as `harestage-router` does.
     Router { file: String },
     /// Look at shapes, and change the one in service.
@@ -77,6 +92,8 @@
     let told = match what {
         What::Hub { file } => hub(&file, log),
         What::Control { listen, journal, first } => control(listen, &journal, first, log),
+        What::Purges { listen, folder } => purges(listen, &folder, log),
+        What::Purge { what } => return purge::run(what),
         What::Router { file } => harestage_router::program::run(&file),
         What::Shape { what } => return shape::run(what),
         What::Schema { of } => {
@@ -116,3 +133,8 @@
     let keeper = Keeper::open(listen, journal, first.as_ref(), log)?;
     keeper.serve(log::until_signal()?)
 }
+
+fn purges(listen: SocketAddr, folder: &std::path::Path, form: log::Form) -> Result<(), String> {
+    let (log, _written_at_end) = log::open("purges", form);
+    harestage_purger::Purger::open(listen, folder, log)?.serve(log::until_signal()?)
+}
--- a/crates/hub/src/desk.rs
+++ b/crates/hub/src/desk.rs
@@ -6,6 +6,7 @@
 use harestage::ring::Ring;
 use harestage::state::Remark;
 use harestage::time::{Moment, Span};
+use harestage_purge::scope::Checked;
 use harestage_shape::control::{LoopSeen, Report};
 use harestage_shape::form::ShapeForm;
 use harestage_shape::knots::{self, Act, Key, Knot, Knots};
@@ -16,7 +17,7 @@
 use harestage_wire::fields::Hex;
 use harestage_wire::node::{Answer, Asked, CopyTag, Given, Word};
 use harestage_wire::peer::{Chase, Way};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 pub type ConnNo = u64;
 pub type PullNo = u64;
@@ -90,6 +91,15 @@
         named: Named,
         at: Moment,
     },
+    /// A purge of the service of purges.
+    Covered {
+        scope: Box<Checked>,
+        at: Moment,
+    },
+    /// Nothing is to be taken from these, and from nobody else is it forbidden.
+    Fenced(BTreeSet<String>),
+    /// All purges that live are known.
+    KnowsPurges,
     /// What a hub calls itself.
     Named {
         addressed: String,
@@ -250,6 +260,9 @@
     lasted: Pace,
     fetched: Pace,
     hits: Ring,
+    fenced: BTreeSet<String>,
+    /// It follows a service of purges, and does not know yet from whom it may take copies.
+    unknowing: bool,
     /// It follows no service.
     alone: bool,
     /// False: the way that others are measured against, in which a new home fetches without asking the old one.
@@ -281,6 +294,8 @@
             lasted: Pace::default(),
             fetched: Pace::default(),
             hits: Ring::new(Span::millis(1_000), 4),
+            fenced: BTreeSet::new(),
+            unknowing: false,
             alone: false,
             hands_over: true,
         };
@@ -293,6 +308,11 @@
         self.alone = true;
     }
 
+    /// A service of purges has to tell all that lives before anything is taken from anyone.
+    pub fn waits_for_purges(&mut self) {
+        self.unknowing = true;
+    }
+
     /// For measurements only: homes move without being handed over.
     pub fn without_handover(&mut self) {
         self.hands_over = false;
@@ -333,6 +353,9 @@
             News::Told(form) => self.told(&form, now),
             News::Part { part, asked } => self.share.told(part, asked, now),
             News::Purged { named, at } => self.store.purge(named, at, now),
+            News::Covered { scope, at } => self.store.purge_scope(&scope, at, now),
+            News::Fenced(fenced) => self.fence(fenced, now),
+            News::KnowsPurges => self.unknowing = false,
             News::Named { addressed, own } => self.knots.known_as(&addressed, &own),
         }
     }
@@ -374,6 +397,29 @@
         shape.find(&self.name).unwrap_or(PlaceIx(u32::MAX))
     }
 
+    /// Hubs that lack a purge: what waits for them goes elsewhere, since what they give may be older.
+    fn fence(&mut self, fenced: BTreeSet<String>, now: Moment) {
+        self.fenced = fenced;
+        let waits_there = |fill: &Fill| match fill.stage {
+            Stage::Asking { pull, whom: place } | Stage::Waiting { pull, on: place } => {
+                let named =
+                    self.versions.get(fill.version).is_some_and(|s| self.fenced.contains(s.name(place)));
+                named.then_some((pull, place))
+            }
+            _ => None,
+        };
+        let mut due: Vec<_> = self.fills.iter().filter_map(|(k, f)| Some((*k, waits_there(f)?))).collect();
+        due.sort_unstable();
+        for (key, (pull, place)) in due {
+            self.cancel(pull);
+            if let Some(fill) = self.fills.get_mut(&key) {
+                fill.avoid.push(place);
+                fill.asked.push(place);
+            }
+            self.advance(key, now);
+        }
+    }
+
     // What comes from below.
 
     fn asked(&mut self, conn: ConnNo, asked: Asked, now: Moment) {
@@ -436,7 +482,10 @@
     }
 
     fn fill_for(&mut self, conn: ConnNo, key: Key, asked: Asked, oldest: Option<Span>, now: Moment) {
-        if self.waiting.len() >= self.bounds.waiters || self.waiting.contains_key(&(conn, asked.id)) {
+        if self.unknowing
+            || self.waiting.len() >= self.bounds.waiters
+            || self.waiting.contains_key(&(conn, asked.id))
+        {
             return self.refuse(conn, asked.id, Word::Full, Remark::NoPlace);
         }
         let path = asked.way.as_ref().map(|way| way.path.clone()).unwrap_or_default();
@@ -548,6 +597,7 @@
         let me = self.me(&shape);
         let mut avoid = fill.avoid.clone();
         avoid.extend(self.aside.iter().filter(|(_, until)| **until > now).map(|(place, _)| *place));
+        avoid.extend(self.fenced.iter().filter_map(|name| shape.find(name)));
         let next = if fill.forced { Some(Next::Archive) } else { route::next(&shape, me, key.0, &avoid) };
         match next {
             Some(Next::Hub(hub)) => self.wait_on(key, hub, path, &shape, now),
@@ -583,7 +633,11 @@
         let Some(fill) = self.fills.get_mut(&key) else { return };
         let right = match fill.forced || !self.hands_over {
             true => Right::Own,
-            false => self.shield.right(&self.versions, me, key, &fill.asked, now),
+            false => {
+                let fenced = self.fenced.iter().filter_map(|name| shape.find(name));
+                let asked: Vec<PlaceIx> = fill.asked.iter().copied().chain(fenced).collect();
+                self.shield.right(&self.versions, me, key, &asked, now)
+            }
         };
         self.knots.waits(key, None, now);
         match right {
--- a/crates/hub/src/net/mod.rs
+++ b/crates/hub/src/net/mod.rs
@@ -2,6 +2,7 @@
 //! queue. Nothing here decides.
 mod down;
 mod follow;
+mod purge_service;
 mod purges;
 mod up;
 
@@ -9,12 +10,13 @@
 use crate::start::HubStart;
 use async_channel::Receiver;
 use async_io::{Async, Timer};
+use event_listener::Event;
 use futures_lite::future::or;
 use harestage_sockets::clock::Clock;
 use harestage_sockets::lines::{within, write_text};
 use harestage_sockets::{Spawner, Stream};
 use slog::{Logger, info, warn};
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::rc::Rc;
 use std::time::Duration;
@@ -27,6 +29,9 @@
     pub desk: RefCell<Desk>,
     pub clock: Clock,
     pub name: String,
+    /// News of the service of purges that the desk has taken in: only then may they be confirmed.
+    pub purges_taken: Cell<u64>,
+    pub purges_were_taken: Event,
 }
 
 /// A hub that listens already, so that whoever started it knows its address.
@@ -61,13 +66,22 @@
     if start.control.is_none() {
         desk.stands_alone();
     }
+    if start.purges.is_some() {
+        desk.waits_for_purges();
+    }
     if !start.hands_over {
         desk.without_handover();
     }
     if let Some(shape) = start.shape.clone() {
         desk.step(clock.now(), std::iter::once(News::Told(Box::new(shape))));
     }
-    let shared = Rc::new(Shared { desk: RefCell::new(desk), clock, name: start.name.clone() });
+    let shared = Rc::new(Shared {
+        desk: RefCell::new(desk),
+        clock,
+        name: start.name.clone(),
+        purges_taken: Cell::new(0),
+        purges_were_taken: Event::new(),
+    });
     let limits = Rc::new(start.limits);
     let (inbox, news) = async_channel::bounded(limits.inbox);
     let below = down::Below::new(limits.clone(), shared.clone(), inbox.clone(), log.clone());
@@ -81,7 +95,10 @@
         spawner.spawn(follow::follow(follower));
     }
     if let Some(feed) = start.feed {
-        spawner.spawn(purges::follow(feed, limits, inbox, log.clone()));
+        spawner.spawn(purges::follow(feed, limits.clone(), inbox.clone(), log.clone()));
+    }
+    if let Some(service) = start.purges {
+        spawner.spawn(purge_service::follow(service, shared.clone(), limits, inbox, log.clone()));
     }
     let stopped = async {
         let _ = stop.recv().await;
@@ -112,7 +129,14 @@
         while let Ok(more) = news.try_recv() {
             come.push(more);
         }
+        let of_purges =
+            |news: &&News| matches!(news, News::Covered { .. } | News::Fenced(_) | News::KnowsPurges);
+        let purges = come.iter().filter(of_purges).count() as u64;
         let orders = shared.desk.borrow_mut().step(shared.clock.now(), come.drain(..));
+        if purges > 0 {
+            shared.purges_taken.set(shared.purges_taken.get() + purges);
+            shared.purges_were_taken.notify(usize::MAX);
+        }
         for order in orders {
             match order {
                 Order::Answer { conn, given } => below.answer(conn, &given),
--- /dev/null
+++ b/crates/hub/src/net/purge_service.rs
@@ -0,0 +1,106 @@
+//! Follows the service of purges: says what it has, some times a second and after each news, and applies what it is told
+//! before it says so.
+use super::{Shared, subscribe};
+use crate::desk::News;
+use crate::start::Limits;
+use async_channel::Sender;
+use async_io::Timer;
+use futures_lite::future::or;
+use harestage_purge::follow::{Act, Follower};
+use harestage_purge::lines::{ToMember, line};
+use harestage_sockets::lines::{Lines, within, write_text};
+use slog::{Logger, info, warn};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// Between two words to the service, where there is nothing new.
+const SAYS_EVERY: Duration = Duration::from_millis(80);
+
+pub(crate) async fn follow(
+    service: SocketAddr,
+    shared: Rc<Shared>,
+    limits: Rc<Limits>,
+    inbox: Sender<News>,
+    log: Logger,
+) {
+    // No other start of this member has this number: clocks go on between two of them.
+    let mut follower = Follower::new(&shared.name, shared.clock.now().micros());
+    let mut down = false;
+    let mut hands = Hands { shared, inbox, handed: 0, knows: false };
+    loop {
+        let why = stay(service, &mut follower, &limits, &mut hands, &log, &mut down)
+            .await
+            .err()
+            .unwrap_or_default();
+        if !std::mem::replace(&mut down, true) {
+            warn!(log, "purges down"; "why" => why, "has" => follower.confirm().has);
+        }
+        Timer::after(limits.control_pause).await;
+    }
+}
+
+async fn stay(
+    service: SocketAddr,
+    follower: &mut Follower,
+    limits: &Limits,
+    hands: &mut Hands,
+    log: &Logger,
+    down: &mut bool,
+) -> Result<(), String> {
+    let stream = subscribe(service, &line(&follower.confirm()), limits.connect).await?;
+    let mut lines = Lines::new(&stream, limits.line_bytes);
+    info!(log, "purges up"; "has" => follower.confirm().has);
+    *down = false;
+    loop {
+        let told = within(limits.control_silence, "silent", lines.next()).await?;
+        hands.apply(&told, follower).await?;
+        // What comes within the pause is applied at once, and confirmed with what came before.
+        let pause = async {
+            Timer::after(SAYS_EVERY).await;
+            None
+        };
+        if let Some(more) = or(async { Some(lines.next().await) }, pause).await {
+            hands.apply(&more?, follower).await?;
+        }
+        write_text(&stream, &line(&follower.confirm()), limits.control_silence).await?;
+    }
+}
+
+/// Hands on what is told, and waits until the desk has taken it in: no answer after that goes by what was before.
+struct Hands {
+    shared: Rc<Shared>,
+    inbox: Sender<News>,
+    handed: u64,
+    knows: bool,
+}
+
+impl Hands {
+    async fn apply(&mut self, told: &[u8], follower: &mut Follower) -> Result<(), String> {
+        let told: ToMember =
+            serde_json::from_slice(told).map_err(|why| format!("an unreadable line: {why}"))?;
+        for act in follower.hear(told).map_err(|why| format!("{why:?}"))? {
+            let news = match act {
+                Act::Purge { scope, at } => News::Covered { scope: Box::new(scope), at },
+                Act::Fences(fenced) => News::Fenced(fenced),
+            };
+            self.hand(news).await;
+        }
+        if follower.is_ready() && !self.knows {
+            self.knows = true;
+            self.hand(News::KnowsPurges).await;
+        }
+        while self.shared.purges_taken.get() < self.handed {
+            let taken = self.shared.purges_were_taken.listen();
+            if self.shared.purges_taken.get() < self.handed {
+                taken.await;
+            }
+        }
+        Ok(())
+    }
+
+    async fn hand(&mut self, news: News) {
+        self.handed += 1;
+        let _ = self.inbox.send(news).await;
+    }
+}
--- a/crates/hub/src/start.rs
+++ b/crates/hub/src/start.rs
@@ -24,6 +24,9 @@
     /// Where a control feed in the platform's form tells of purges; absent: nobody does.
     #[serde(default)]
     pub feed: Option<String>,
+    /// Where the service of purges is; absent: none.
+    #[serde(default)]
+    pub purges: Option<String>,
     /// Memory for copies, in megabytes.
     #[serde(default = "usual_memory")]
     pub memory_mb: u64,
@@ -68,6 +71,7 @@
     pub listen: SocketAddr,
     pub control: Option<SocketAddr>,
     pub feed: Option<SocketAddr>,
+    pub purges: Option<SocketAddr>,
     pub contents: HashMap<Bytes, Keeping>,
     pub shape: Option<ShapeForm>,
     pub bounds: Bounds,
@@ -141,6 +145,7 @@
         Ok(HubStart {
             listen: address("listen", &self.listen)?,
             control: self.control.as_deref().map(|text| address("control", text)).transpose()?,
+            purges: self.purges.as_deref().map(|text| address("purges", text)).transpose()?,
             feed: self.feed.as_deref().map(|text| address("feed", text)).transpose()?,
             contents: contents.collect(),
             shape: self.shape,
--- a/crates/hub/src/store.rs
+++ b/crates/hub/src/store.rs
@@ -3,6 +3,8 @@
 //! copy may still be on its way.
 use bytes::Bytes;
 use harestage::time::{Moment, Span};
+use harestage_purge::index::Index;
+use harestage_purge::scope::{Checked, Facts};
 use harestage_shape::knots::Key;
 use std::collections::{BTreeMap, HashMap, VecDeque};
 
@@ -40,6 +42,7 @@
     order: BTreeMap<(u8, u64), Key>,
     used: u64,
     purges: Purges,
+    scopes: Index,
 }
 
 #[derive(Default)]
@@ -63,7 +66,15 @@
     /// `room` in bytes, bodies and what they cost beside.
     pub fn new(room: usize) -> Store {
         let (kept, order) = (HashMap::new(), BTreeMap::new());
-        Store { bytes: 0, room, kept, order, used: 0, purges: Purges::default() }
+        Store {
+            bytes: 0,
+            room,
+            kept,
+            order,
+            used: 0,
+            purges: Purges::default(),
+            scopes: Index::new(MOST_PURGES, PURGE_KEPT),
+        }
     }
 
     pub fn bytes(&self) -> usize {
@@ -153,17 +164,46 @@
         gone.into_iter().for_each(|key| self.drop(key));
     }
 
+    /// The same for a purge of a wider scope, of the service of purges.
+    pub fn purge_scope(&mut self, scope: &Checked, at: Moment, now: Moment) {
+        self.scopes.enter(scope, at, now);
+        let gone: Vec<Key> = self
+            .kept
+            .iter()
+            .filter(|(key, kept)| {
+                kept.copy.dated <= at && scope.covers(&facts(**key, &kept.copy, &name(key.0)))
+            })
+            .map(|(key, _)| *key)
+            .collect();
+        gone.into_iter().for_each(|key| self.drop(key));
+    }
+
     /// No purge that is known forbids this copy.
     pub fn is_good(&self, key: Key, copy: &Copy) -> bool {
-        self.purges.allow(key.0, copy.group, copy.dated)
+        let bound = self.scopes.from_when(&facts(key, copy, &name(key.0)));
+        bound.is_none_or(|bound| copy.dated > bound) && self.purges.allow(key.0, copy.group, copy.dated)
     }
 
     /// Copies of this object have to be younger than this, as far as is known without their group.
     pub fn purged_at(&self, object: u64) -> Moment {
-        self.purges.objects.get(&object).copied().unwrap_or_default().max(self.purges.floor)
+        let name = name(object);
+        // Without group and tags, whatever may cover the object does.
+        let facts = Facts { object, part: 0, group: None, name: Some(&name), tags: None };
+        let by_scope = self.scopes.from_when(&facts).unwrap_or_default();
+        self.purges.objects.get(&object).copied().unwrap_or_default().max(self.purges.floor).max(by_scope)
     }
 }
 
+/// The name of an object, for patterns: its sixteen digits.
+fn name(object: u64) -> String {
+    format!("{object:016x}")
+}
+
+/// Tags are not told to hubs: any purge by tags may mean a copy.
+fn facts<'a>(key: Key, copy: &Copy, name: &'a str) -> Facts<'a> {
+    Facts { object: key.0, part: key.1, group: copy.group, name: Some(name), tags: None }
+}
+
 impl Purges {
     fn enter(&mut self, named: Named, at: Moment) {
         let known = match named {
--- a/crates/measure/src/purge.rs
+++ b/crates/measure/src/purge.rs
@@ -1,14 +1,22 @@
 //! The measurement of purges, as far as they stand: the index beside a plain list, the log beside redb, and crashes of
 //! the log.
-use crate::Figures;
-use crate::rig::Scratch;
+use crate::rig::*;
+use crate::{Figures, quantile};
 use harestage::time::{Moment, Span};
 use harestage_purge::index::{Index, PlainList};
+use harestage_purge::lines::{Answer, Call, line};
 use harestage_purge::scope::{Facts, Scope};
+use harestage_purger::Purger;
 use harestage_segments::faulty::Disk;
 use harestage_segments::{Folder, Log};
+use harestage_shape::form::ShapeForm;
+use harestage_standins::{Archive, ArchiveScript, Caller, Fault, Link, pull};
 use redb::{Database, ReadableDatabase, ReadableTable, TableDefinition};
 use std::hint::black_box;
+use std::io::{BufRead, BufReader, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::path::Path;
+use std::time::Duration;
 use std::time::Instant;
 
 pub fn measure(quick: bool) -> Figures {
@@ -17,6 +25,9 @@
     appends(quick, &mut figures);
     recovery(quick, &mut figures);
     crashes(quick, &mut figures);
+    fleet(quick, &mut figures);
+    figures.bound("older_than_promised", 0.0);
+    figures.bound("oldest_copy_over_promise_max", 1.0);
     figures.bound("crash_points_lost", 0.0);
     figures.bound("lookup_to_plain_100k_share", 0.05);
     figures
@@ -179,3 +190,124 @@
     figures.set("crash_points_tried", tried as f64);
     figures.set("crash_points_lost", lost as f64);
 }
+
+/// Starts the service of purges on a folder.
+pub fn start_purger(listen: SocketAddr, folder: &Path) -> Running {
+    let run = move |stop: async_channel::Receiver<()>, folder: std::path::PathBuf, log: slog::Logger| {
+        let until = Instant::now() + Duration::from_secs(10);
+        loop {
+            match Purger::open(listen, &folder, log.clone()) {
+                Ok(purger) => return drop(purger.serve(stop)),
+                Err(why) => assert!(Instant::now() < until, "{why}"),
+            }
+            std::thread::sleep(Duration::from_millis(20));
+        }
+    };
+    Running::of(run, folder)
+}
+
+/// A call to the service of purges, and its answer.
+pub fn ask(service: SocketAddr, call: &Call) -> Option<Answer> {
+    let stream = TcpStream::connect_timeout(&service, Duration::from_secs(1)).ok()?;
+    stream.set_read_timeout(Some(Duration::from_secs(10))).ok()?;
+    (&stream).write_all(&line(call)).ok()?;
+    let mut text = String::new();
+    BufReader::new(stream).read_line(&mut text).ok()?;
+    serde_json::from_str(&text).ok()
+}
+
+/// Four hubs, one of which falls silent now and then. After each purge every hub is asked for a copy of what it covered,
+/// as soon as the purge is reported; the plain way asks at the same moment whoever was told, and fences nobody: what the
+/// silent hub gives then is what a best effort leaves behind.
+fn fleet(quick: bool, figures: &mut Figures) {
+    const HUBS: usize = 4;
+    let purges = if quick { 120 } else { 1_000 };
+    let archive =
+        Archive::open(ArchiveScript { capacity: 1e5, answers_in_ms: 2, ..ArchiveScript::default() });
+    let (service, scratch) = (free_address(), Scratch::new());
+    let _service = start_purger(service, &scratch.file("purges"));
+    let addresses: Vec<SocketAddr> = (0..HUBS).map(|_| free_address()).collect();
+    let forms = addresses.iter().enumerate().map(|(n, at)| hub_form(&format!("h{n}"), *at, 1e5, 0));
+    let shape = ShapeForm {
+        version: 1,
+        archive: archive_form(&archive, 1e5),
+        hubs: forms.collect(),
+        branches: Vec::new(),
+    };
+    let links: Vec<Link> = (0..HUBS).map(|_| Link::to(service)).collect();
+    let _hubs: Vec<Running> = addresses
+        .iter()
+        .zip(&links)
+        .enumerate()
+        .map(|(n, (at, link))| start_hub_with_purges(&format!("h{n}"), *at, shape.clone(), link.address))
+        .collect();
+    let settled = || {
+        let all_free = |status: &harestage_purge::lines::Status| {
+            status.members.len() == HUBS && status.members.iter().all(|member| !member.fenced)
+        };
+        matches!(ask(service, &Call::Status), Some(Answer::Status(status)) if all_free(&status))
+    };
+    let until = Instant::now() + Duration::from_secs(20);
+    while !settled() {
+        assert!(Instant::now() < until, "the hubs never followed");
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    let callers: Vec<Caller> = addresses.iter().filter_map(|at| Caller::to(*at).ok()).collect();
+    let dated = |hub: usize, object: u64, id: u64| {
+        let reply = callers[hub].ask(&pull(id, "clip", object, 3_000), Duration::from_secs(3))?;
+        Some(reply.copy?.dated_ms)
+    };
+    let (mut reach, mut over, mut older, mut plain_older, mut fenced) =
+        (Vec::new(), 0.0f64, 0u64, 0u64, 0u64);
+    let mut id = 1;
+    for n in 0..purges {
+        let (object, silent) = (n as u64 % 64, n % 12 == 7);
+        for hub in 0..HUBS {
+            id += 1;
+            dated(hub, object, id);
+        }
+        if silent {
+            links[3].set(Fault::Silent);
+        }
+        std::thread::sleep(Duration::from_millis(2));
+        let asked_ms = unix_ms();
+        let scope = match n % 4 {
+            0 => Scope::Object(format!("{object:016x}")),
+            1 => Scope::Prefix(format!("{object:016x}")),
+            2 => Scope::Glob(format!("*{object:x}")),
+            _ => Scope::Group(object as u32),
+        };
+        let call = Call::Submit { scope, tenant: n as u32 % 50, key: format!("k{n}") };
+        let Some(Answer::Accepted { number, promise }) = ask(service, &call) else { continue };
+        let Some(Answer::Report(report)) = ask(service, &Call::Wait { number }) else { continue };
+        let since = Instant::now();
+        reach.push(report.reached_ms as f64);
+        over = over.max(report.reached_ms as f64 / promise.within_ms.max(1) as f64);
+        let mut oldest_is_old = false;
+        for hub in 0..HUBS {
+            id += 1;
+            // What a fenced hub gives is taken by nobody; the plain way would have taken it.
+            let old = dated(hub, object, id).is_some_and(|dated| dated < asked_ms);
+            let is_fenced = report.fenced.contains(&format!("h{hub}"));
+            plain_older += u64::from(old && is_fenced);
+            oldest_is_old |= old && !is_fenced;
+        }
+        older += u64::from(oldest_is_old || !report.kept);
+        fenced += u64::from(!report.fenced.is_empty());
+        if silent {
+            links[3].set(Fault::None);
+            let until = since + Duration::from_secs(10);
+            while !settled() && Instant::now() < until {
+                std::thread::sleep(Duration::from_millis(5));
+            }
+        }
+    }
+    figures.set("purges", reach.len() as f64);
+    figures.set("older_than_promised", older as f64);
+    figures.set("plain_older_than_promised", plain_older as f64);
+    figures.set("oldest_copy_over_promise_max", over);
+    figures.set("purges_with_a_fence", fenced as f64);
+    for (name, part) in [("reach_ms_p50", 0.5), ("reach_ms_p99", 0.99), ("reach_ms_max", 1.0)] {
+        figures.set(name, quantile(&mut reach, part));
+    }
+}
--- a/crates/measure/src/rig.rs
+++ b/crates/measure/src/rig.rs
@@ -1,5 +1,5 @@
 //! Hubs, a control service and an archive on loopback, each on threads of its own, to be started, killed and cut off.
-use async_channel::Sender;
+use async_channel::{Receiver, Sender};
 use harestage_control::serve::Keeper;
 use harestage_hub::net::Hub;
 use harestage_hub::start::{ContentFile, HubFile, HubStart};
@@ -22,6 +22,14 @@
 }
 
 impl Running {
+    /// Runs something that is told to stop, on a thread of its own, with a file or folder of its own.
+    pub fn of(run: impl FnOnce(Receiver<()>, PathBuf, Logger) + Send + 'static, path: &Path) -> Running {
+        let (stop, stopped) = async_channel::bounded(1);
+        let path = path.to_path_buf();
+        let thread = std::thread::spawn(move || run(stopped, path, quiet()));
+        Running { stop: Some(stop), thread: Some(thread) }
+    }
+
     /// Ends it. Its sockets close with it, as those of a process that is killed do.
     pub fn kill(&mut self) {
         drop(self.stop.take());
@@ -82,12 +90,24 @@
     run_hub(file.checked().expect("the rig's files are right"))
 }
 
+/// A hub that follows a service of purges.
+pub fn start_hub_with_purges(
+    name: &str,
+    listen: SocketAddr,
+    shape: ShapeForm,
+    purges: SocketAddr,
+) -> Running {
+    let file = HubFile { shape: Some(shape), purges: Some(purges.to_string()), ..hub_file(name, listen) };
+    run_hub(file.checked().expect("the rig's files are right"))
+}
+
 fn hub_file(name: &str, listen: SocketAddr) -> HubFile {
     HubFile {
         name: name.into(),
         listen: listen.to_string(),
         control: None,
         feed: None,
+        purges: None,
         memory_mb: 64,
         connections: 512,
         fills: 4_096,
--- a/crates/measure/src/shape.rs
+++ b/crates/measure/src/shape.rs
@@ -280,6 +280,9 @@
     ShapeForm { version: 1, archive, hubs, branches: branches.collect() }
 }
 
+/// Versions that are kept alive for their memory.
+const ALIVE: usize = 64;
+
 fn resident_kb() -> f64 {
     let status = std::fs::read_to_string("/proc/self/status").unwrap_or_default();
     let line = status.lines().find(|line| line.starts_with("VmRSS:")).unwrap_or("");
@@ -300,23 +303,31 @@
     let shape = tree::Shape::of(&from).expect("it holds");
     figures.set("check_ms", ms(|| check::check(&shape).map(|_| ()).expect("it holds")));
     let plan = plan::plan(&shape, &to, Moment::at_micros(0)).expect("there is a way");
-    let before = resident_kb();
     let versions: Vec<tree::Shape> =
         (1..=plan.steps.len()).map(|n| plan.shape_after(&shape, n, 1 + n as u64)).collect();
-    let kept_kb = resident_kb() - before;
+    assert_eq!(versions.len(), plan.steps.len());
     figures.set("plan_10k_branches_ms", begun.elapsed().as_secs_f64() * 1e3);
     figures.set("plan_steps", plan.steps.len() as f64);
-    figures.set("plan_version_kb", kept_kb / versions.len().max(1) as f64);
     let (plain_from, plain_to) = (Plain::of(&from), Plain::of(&to));
     let begun = Instant::now();
     let plain = Plain::of(&from);
     figures.set("check_plain_ms", ms(|| assert!(plain.holds())));
-    let before = resident_kb();
     let steps = plain_from.steps_to(&plain_to);
-    let kept_kb = resident_kb() - before;
     figures.set("plan_10k_plain_ms", begun.elapsed().as_secs_f64() * 1e3);
-    figures.set("plan_plain_version_kb", kept_kb / steps.len().max(1) as f64);
     figures.set("plan_plain_steps", steps.len() as f64);
+    // Versions that are alive at once, each with one branch moved.
+    let (moved, before) = (shape.find("br-7").expect("it is there"), resident_kb());
+    let mut kept = vec![shape.clone()];
+    for n in 0..ALIVE {
+        let last = kept.last().expect("the first is there");
+        let ties = [last.ties(moved)[0], tree::PlaceIx(1 + n as u32)];
+        kept.push(last.with_ties(2 + n as u64, [(moved, &ties[..])]));
+    }
+    figures.set("version_kb", (resident_kb() - before) / ALIVE as f64);
+    let before = resident_kb();
+    let plain_kept: Vec<Plain> = (0..ALIVE).map(|_| plain_from.clone()).collect();
+    figures.set("version_plain_kb", (resident_kb() - before) / plain_kept.len() as f64);
+    drop((kept, plain_kept));
     figures.set("large_branches", branches as f64);
     figures.set("large_hubs", hubs as f64);
 }
--- a/crates/purge/src/members.rs
+++ b/crates/purge/src/members.rs
@@ -53,6 +53,34 @@
 }
 
 impl Members {
+    /// A member as it stood in the log of a service that has ended: it is taken to have what it confirmed, and has to
+    /// confirm the rest in the usual time.
+    pub fn recall(&mut self, name: &str, start: u64, has: u64, last: u64, now: Moment) {
+        self.last = self.last.max(last);
+        let lacks = (has < last).then_some(now);
+        self.known.insert(name.into(), Member { start, has, heard: now, lacks, fenced: None, freed: None });
+    }
+
+    /// A member that was fenced when the service ended is fenced still.
+    pub fn recall_fence(&mut self, name: &str, now: Moment) {
+        if let Some(member) = self.known.get_mut(name) {
+            (member.fenced, member.lacks) = (Some(now), member.lacks.or(Some(now)));
+        }
+    }
+
+    /// The number of its process, and what it has.
+    pub fn of(&self, name: &str) -> Option<(u64, u64)> {
+        self.known.get(name).map(|member| (member.start, member.has))
+    }
+
+    pub fn is_fenced(&self, name: &str) -> bool {
+        self.known.get(name).is_some_and(|member| member.fenced.is_some())
+    }
+
+    pub fn names(&self) -> impl Iterator<Item = &str> {
+        self.known.keys().map(String::as_str)
+    }
+
     /// A purge has been written down, and is told from now on.
     pub fn purged(&mut self, number: u64, now: Moment) {
         self.last = self.last.max(number);
@@ -81,7 +109,7 @@
         }
         member.heard = now;
         // Numbers from the future come from another order, and prove nothing.
-        if has > last || !told_all && member.has == 0 && last > 0 {
+        if has > last || !told_all && member.has == 0 {
             return None;
         }
         member.has = member.has.max(has);
--- a/crates/purge/src/order.rs
+++ b/crates/purge/src/order.rs
@@ -10,17 +10,30 @@
 /// Keys that are remembered; past it the oldest are forgotten, and asked for again are new purges, which harm nobody.
 const MOST_KEYS: usize = 100_000;
 
-/// One purge, as it is written down and told.
+/// One thing that every member is told, in this order and no other.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Purge {
+pub struct Item {
     pub number: u64,
     pub term: u64,
-    pub scope: Scope,
-    /// Unix milliseconds: copies given out by the archive up to then are old.
+    /// Unix milliseconds of the service.
     pub at_ms: u64,
-    pub tenant: u32,
-    /// Asked for again under the same key, it is the same purge.
-    pub key: String,
+    pub what: What,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum What {
+    /// Copies of this that the archive gave out up to `at_ms` are old.
+    Purge {
+        scope: Scope,
+        tenant: u32,
+        /// Asked for again under the same key, it is the same purge.
+        key: String,
+    },
+    /// Nothing is taken from this member from now on.
+    Fenced { member: String },
+    /// It has caught up, and may be asked as a cold one.
+    Freed { member: String },
 }
 
 /// What stands in the log.
@@ -31,15 +44,17 @@
     Term {
         term: u64,
     },
-    Purge(Purge),
+    Item(Item),
     /// A member has confirmed all up to that number, under the number of its process.
     Confirmed {
+        term: u64,
         member: String,
         start: u64,
         upto: u64,
     },
     /// A purge has ended: the report was given.
     Reported {
+        term: u64,
         number: u64,
     },
 }
@@ -88,7 +103,7 @@
 pub struct Order {
     term: u64,
     last: u64,
-    live: VecDeque<Purge>,
+    live: VecDeque<Item>,
     keys: HashMap<(u32, String), u64>,
     by_age: VecDeque<(u32, String)>,
     limit: Limit,
@@ -99,7 +114,7 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Taken {
     /// To be written down, synced, and only then told.
-    New(Purge),
+    New(Item),
     /// It was asked for before, under this number.
     Known(u64),
 }
@@ -120,8 +135,8 @@
             match entry {
                 Entry::Term { term } => order.term = order.term.max(term),
                 // Of an older term, behind a newer one: written by a service that did not know yet.
-                Entry::Purge(purge) if purge.term == order.term && purge.number == order.last + 1 => {
-                    order.enter(purge)
+                Entry::Item(item) if item.term == order.term && item.number == order.last + 1 => {
+                    order.enter(item)
                 }
                 _ => {}
             }
@@ -138,7 +153,8 @@
             return Err(Refused::Key { bytes: key.len() });
         }
         if let Some(number) = self.keys.get(&(tenant, key.to_string())).copied() {
-            let other = self.live.iter().any(|purge| purge.number == number && purge.scope != scope);
+            let is = |item: &Item| matches!(&item.what, What::Purge { scope: own, .. } if *own == scope);
+            let other = self.live.iter().any(|item| item.number == number && !is(item));
             return match other {
                 true => Err(Refused::OtherScope { key: key.into(), number }),
                 false => Ok(Taken::Known(number)),
@@ -146,9 +162,14 @@
         }
         self.charge(tenant, now_ms)?;
         let key = key.to_string();
-        let purge = Purge { number: self.last + 1, term: self.term, scope, at_ms: now_ms, tenant, key };
-        self.enter(purge.clone());
-        Ok(Taken::New(purge))
+        Ok(Taken::New(self.note(What::Purge { scope, tenant, key }, now_ms)))
+    }
+
+    /// Gives the next number to something that all have to be told.
+    pub fn note(&mut self, what: What, now_ms: u64) -> Item {
+        let item = Item { number: self.last + 1, term: self.term, at_ms: now_ms, what };
+        self.enter(item.clone());
+        item
     }
 
     fn charge(&mut self, tenant: u32, now_ms: u64) -> Result<(), Refused> {
@@ -164,33 +185,35 @@
         Ok(())
     }
 
-    fn enter(&mut self, purge: Purge) {
-        self.last = purge.number;
-        let key = (purge.tenant, purge.key.clone());
-        self.keys.insert(key.clone(), purge.number);
-        self.by_age.push_back(key);
+    fn enter(&mut self, item: Item) {
+        self.last = item.number;
+        if let What::Purge { tenant, key, .. } = &item.what {
+            let key = (*tenant, key.clone());
+            self.keys.insert(key.clone(), item.number);
+            self.by_age.push_back(key);
+        }
         while self.by_age.len() > MOST_KEYS {
             if let Some(old) = self.by_age.pop_front() {
                 self.keys.remove(&old);
             }
         }
-        self.live.push_back(purge);
+        self.live.push_back(item);
     }
 
     /// What follows a number, in order; none if some of it is no longer kept, so that all that lives has to be told.
-    pub fn after(&self, number: u64) -> Option<impl Iterator<Item = &Purge>> {
-        let first = self.live.front().map_or(self.last + 1, |purge| purge.number);
+    pub fn after(&self, number: u64) -> Option<impl Iterator<Item = &Item>> {
+        let first = self.live.front().map_or(self.last + 1, |item| item.number);
         (number + 1 >= first).then(|| self.live.iter().skip((number + 1 - first) as usize))
     }
 
     /// Forgets what no living copy can be older than.
     pub fn forget_before(&mut self, at_ms: u64) {
-        while self.live.front().is_some_and(|purge| purge.at_ms < at_ms) {
+        while self.live.front().is_some_and(|item| item.at_ms < at_ms) {
             self.live.pop_front();
         }
     }
 
-    pub fn live(&self) -> impl Iterator<Item = &Purge> {
+    pub fn live(&self) -> impl Iterator<Item = &Item> {
         self.live.iter()
     }
 
@@ -224,6 +247,8 @@
 }
 
 impl Place {
+    /// `term` is that of the service that tells it, not of the one that gave the number: a new service tells on what its
+    /// forerunners wrote.
     pub fn hear(&mut self, term: u64, number: u64) -> Heard {
         if term < self.term {
             return Heard::Stale;
--- a/crates/purge/src/promise.rs
+++ b/crates/purge/src/promise.rs
@@ -1,6 +1,6 @@
 //! Which delay is promised for a purge, and what became of the promise. It comes from what has been measured: how long
 //! members took to confirm, and how long a fence takes to hold for one that does not.
-use crate::members::{FENCED_AFTER, Members};
+use crate::members::FENCED_AFTER;
 use harestage::time::{Moment, Span};
 use hdrhistogram::Histogram;
 use serde::{Deserialize, Serialize};
@@ -100,9 +100,9 @@
         self.open.range_mut(has + 1..).for_each(|(_, open)| open.fenced.push(member.into()));
     }
 
-    /// Those that everyone has by now, or is fenced for.
-    pub fn reached(&mut self, members: &Members, now: Moment) -> Vec<Report> {
-        let done: Vec<u64> = self.open.keys().copied().filter(|number| members.is_reached(*number)).collect();
+    /// Those that everyone has by now, or is fenced for, as `is_reached` says.
+    pub fn reached(&mut self, is_reached: impl Fn(u64) -> bool, now: Moment) -> Vec<Report> {
+        let done: Vec<u64> = self.open.keys().copied().filter(|number| is_reached(*number)).collect();
         let report = |number| {
             let open = self.open.remove(&number)?;
             let reached_ms = now.since(open.begun).as_micros().div_ceil(1_000);
--- a/crates/purge/tests/orders.rs
+++ b/crates/purge/tests/orders.rs
@@ -1,7 +1,7 @@
 //! One order, whoever gives it; who has what; and what is promised.
 use harestage::time::{Moment, Span};
 use harestage_purge::members::{Change, FENCED_AFTER, Members, Use, WARMS};
-use harestage_purge::order::{Entry, Heard, Limit, Order, Place, Purge, Refused, Taken};
+use harestage_purge::order::{Entry, Heard, Item, Limit, Order, Place, Refused, Taken};
 use harestage_purge::promise::{Measured, Watch};
 use harestage_purge::scope::Scope;
 
@@ -15,9 +15,9 @@
     Scope::Group(group)
 }
 
-fn new(taken: Result<Taken, Refused>) -> Purge {
+fn new(taken: Result<Taken, Refused>) -> Item {
     match taken {
-        Ok(Taken::New(purge)) => purge,
+        Ok(Taken::New(item)) => item,
         other => panic!("{other:?}"),
     }
 }
@@ -29,7 +29,7 @@
     assert_eq!(order.ask(group(1), 7, "k1", 20), Ok(Taken::Known(1)));
     assert_eq!(new(order.ask(group(1), 8, "k1", 20)).number, 2, "another tenant's key is another");
     assert!(matches!(order.ask(group(2), 7, "k1", 20), Err(Refused::OtherScope { number: 1, .. })));
-    let (mut next, later) = Order::recall([term, Entry::Purge(one)], LIMIT);
+    let (mut next, later) = Order::recall([term, Entry::Item(one)], LIMIT);
     assert_eq!((later, next.last()), (Entry::Term { term: 2 }, 1), "2 was never written down");
     assert_eq!(next.ask(group(1), 7, "k1", 30), Ok(Taken::Known(1)));
     assert_eq!(new(next.ask(group(3), 7, "k3", 30)).number, 2);
@@ -40,11 +40,11 @@
 fn an_older_terms_entries_behind_a_newer_term_do_not_count() {
     let (mut old, first) = Order::recall([], LIMIT);
     let one = new(old.ask(group(1), 0, "a", 1));
-    let (mut new_order, second) = Order::recall([first.clone(), Entry::Purge(one.clone())], LIMIT);
+    let (mut new_order, second) = Order::recall([first.clone(), Entry::Item(one.clone())], LIMIT);
     let late = new(old.ask(group(2), 0, "b", 2));
     let two = new(new_order.ask(group(3), 0, "c", 3));
     assert_eq!((late.number, two.number), (2, 2));
-    let log = [first, Entry::Purge(one), second, Entry::Purge(late), Entry::Purge(two.clone())];
+    let log = [first, Entry::Item(one), second, Entry::Item(late), Entry::Item(two.clone())];
     let (recalled, _) = Order::recall(log, LIMIT);
     assert_eq!(recalled.live().last(), Some(&two));
     let mut place = Place::default();
@@ -69,8 +69,9 @@
 fn what_a_member_missed_is_told_in_order_or_all_that_lives_is() {
     let (mut order, _) = Order::recall([], LIMIT);
     (1..=10).for_each(|n| drop(new(order.ask(group(n), 0, &format!("{n}"), u64::from(n) * 100))));
-    let numbers =
-        |order: &Order, after| order.after(after).map(|list| list.map(|p| p.number).collect::<Vec<_>>());
+    let numbers = |order: &Order, after| {
+        order.after(after).map(|list| list.map(|item| item.number).collect::<Vec<_>>())
+    };
     assert_eq!(numbers(&order, 7), Some(vec![8, 9, 10]));
     order.forget_before(500);
     assert_eq!(numbers(&order, 4), Some(vec![5, 6, 7, 8, 9, 10]));
@@ -171,13 +172,13 @@
     members.purged(1, at(1_000));
     watch.begin(1, promise, at(1_000));
     members.confirm("a", 1, 1, true, at(1_020));
-    assert!(watch.reached(&members, at(1_020)).is_empty());
+    assert!(watch.reached(|number| members.is_reached(number), at(1_020)).is_empty());
     for change in members.beat(at(1_260)) {
         if let Change::Fenced { member, has } = change {
             watch.fenced(&member, has);
         }
     }
-    let reports = watch.reached(&members, at(1_260));
+    let reports = watch.reached(|number| members.is_reached(number), at(1_260));
     assert_eq!(
         (reports[0].reached_ms, reports[0].kept, reports[0].fenced.clone()),
         (260, true, vec!["b".to_string()])
--- /dev/null
+++ b/crates/purge/tests/service.rs
@@ -0,0 +1,328 @@
+//! The service, its log and its members with everything that goes wrong between them: lost, late and doubled messages,
+//! members that fall silent, restart or come back, a service that dies between writing, answering and telling. What holds
+//! throughout: once a purge is reported, nobody who may be asked takes a copy older than it from anyone.
+use harestage::time::Moment;
+use harestage_purge::order::{Entry, Heard, Item, Limit, Place, What};
+use harestage_purge::scope::Scope;
+use harestage_purge::service::{Effect, Missing, Service};
+use std::collections::{BTreeMap, BTreeSet};
+use std::hash::{DefaultHasher, Hash, Hasher};
+
+const LIMIT: Limit = Limit { rate: 1e6, burst: 1e6 };
+
+/// A member: a cache that keeps to what it was told, and takes copies from others.
+#[derive(Clone, Default)]
+struct Member {
+    start: u64,
+    place: Place,
+    told_all: bool,
+    applied: BTreeSet<u64>,
+    fenced: BTreeSet<String>,
+    silent_until: u64,
+}
+
+impl Member {
+    /// `term`: of the service that tells it, which may be younger than the one that gave it its number.
+    fn apply(&mut self, item: &Item, term: u64) {
+        if self.place.hear(term, item.number) == Heard::Next {
+            self.take(item);
+        }
+    }
+
+    fn take(&mut self, item: &Item) {
+        self.applied.insert(item.number);
+        match &item.what {
+            What::Fenced { member } => drop(self.fenced.insert(member.clone())),
+            What::Freed { member } => drop(self.fenced.remove(member)),
+            What::Purge { .. } => {}
+        }
+    }
+
+    fn learn(&mut self, missing: &Missing, term: u64) {
+        match missing {
+            Missing::Items(items) => items.iter().for_each(|item| self.apply(item, term)),
+            Missing::All { items, upto } if term >= self.place.term => {
+                self.fenced.clear();
+                items.iter().for_each(|item| self.take(item));
+                self.place = Place { term, number: (*upto).max(self.place.number) };
+                self.told_all = true;
+            }
+            Missing::All { .. } => {}
+        }
+    }
+}
+
+struct World {
+    seed: u64,
+    drawn: u64,
+    now: u64,
+    service: Option<Service>,
+    log: Vec<Entry>,
+    members: BTreeMap<String, Member>,
+    /// When each report was given.
+    reported: BTreeMap<u64, u64>,
+    acknowledged: BTreeSet<u64>,
+    asked: u32,
+    /// The service dies after so many more effects.
+    dies_in: Option<u64>,
+}
+
+impl World {
+    fn new(seed: u64, members: usize) -> World {
+        let (service, effects) = Service::open(&[], LIMIT, at(0));
+        let mut world = World {
+            seed,
+            drawn: 0,
+            now: 0,
+            service: Some(service),
+            log: Vec::new(),
+            members: (0..members).map(|n| (format!("m{n}"), Member::default())).collect(),
+            reported: BTreeMap::new(),
+            acknowledged: BTreeSet::new(),
+            asked: 0,
+            dies_in: None,
+        };
+        world.carry_out(effects);
+        world
+    }
+
+    fn chance(&mut self, below: u64) -> u64 {
+        self.drawn += 1;
+        let mut hasher = DefaultHasher::new();
+        (self.seed, self.drawn).hash(&mut hasher);
+        hasher.finish() % below
+    }
+
+    /// True: the service died before the end of them.
+    fn carry_out(&mut self, effects: Vec<Effect>) -> bool {
+        for effect in effects {
+            if let Some(left) = &mut self.dies_in {
+                if *left == 0 {
+                    (self.service, self.dies_in) = (None, None);
+                    return true;
+                }
+                *left -= 1;
+            }
+            match effect {
+                Effect::Write(entry) => self.log.push(entry),
+                Effect::Tell(item) => {
+                    let names: Vec<String> = self.members.keys().cloned().collect();
+                    for name in names {
+                        // Lost to one in five, and to those that are silent.
+                        let lost = self.chance(5) == 0;
+                        let (now, doubled) = (self.now, self.chance(9) == 0);
+                        let Some(member) = self.members.get_mut(&name) else { continue };
+                        if !lost && member.silent_until <= now && member.told_all {
+                            member.apply(&item, item.term);
+                            if doubled {
+                                member.apply(&item, item.term);
+                            }
+                        }
+                    }
+                }
+                Effect::Report(report) => {
+                    self.reported.entry(report.number).or_insert(self.now);
+                    self.check();
+                }
+            }
+        }
+        false
+    }
+
+    /// Once a purge is reported, whoever may be used has it, or is fenced in the eyes of all who may be used.
+    fn check(&self) {
+        let Some(service) = &self.service else { return };
+        for number in self.reported.keys() {
+            let usable =
+                |name: &&String| !service.members().is_fenced(name) && service.members().of(name).is_some();
+            for (name, reader) in self.members.iter().filter(|(name, _)| usable(name)) {
+                if !reader.told_all
+                    || service.members().of(name).map(|(start, _)| start) != Some(reader.start)
+                {
+                    // A new process takes nothing from anyone before it was told all.
+                    continue;
+                }
+                assert!(reader.applied.contains(number), "{}: {name} is used and lacks {number}", self.seed);
+                for (other, source) in &self.members {
+                    let lacks = !source.applied.contains(number) && service.members().of(other).is_some();
+                    let taken = !reader.fenced.contains(other) && source.told_all;
+                    assert!(
+                        !(lacks && taken),
+                        "{}: {name} takes from {other}, which lacks {number}",
+                        self.seed
+                    );
+                }
+            }
+        }
+    }
+
+    fn confirm(&mut self, name: &str) {
+        let (now, lost) = (at(self.now), self.chance(6) == 0);
+        let Some(member) = self.members.get(name).cloned() else { return };
+        let Some(service) = &mut self.service else { return };
+        let has = member.place.number;
+        let (missing, effects) = service.confirm(name, member.start, has, member.told_all, now);
+        let term = service.term();
+        if self.carry_out(effects) || lost {
+            return;
+        }
+        self.members.get_mut(name).into_iter().for_each(|member| member.learn(&missing, term));
+    }
+
+    fn submit(&mut self) {
+        self.asked += 1;
+        let (asked, now) = (self.asked, at(self.now));
+        let Some(service) = &mut self.service else { return };
+        let Ok((number, _, effects)) = service.submit(Scope::Group(asked), 0, &format!("k{asked}"), now)
+        else {
+            panic!("it is within the limits");
+        };
+        if !self.carry_out(effects) {
+            self.acknowledged.insert(number);
+        }
+    }
+
+    fn restart_service(&mut self) {
+        let (service, effects) = Service::open(&self.log, LIMIT, at(self.now));
+        self.service = Some(service);
+        self.carry_out(effects);
+    }
+
+    fn step(&mut self) {
+        self.now += self.chance(60);
+        let names: Vec<String> = self.members.keys().cloned().collect();
+        let name = names[self.chance(names.len() as u64) as usize].clone();
+        match self.chance(40) {
+            0..=3 => self.submit(),
+            4 => {
+                let silent = self.chance(1_500);
+                let until = self.now + silent;
+                self.members.get_mut(&name).into_iter().for_each(|member| member.silent_until = until);
+            }
+            5 => {
+                // A new process under the old name: it has lost everything, and a silence ends with it.
+                let start = self.now + 1;
+                self.members.insert(name, Member { start, ..Member::default() });
+            }
+            6 => self.dies_in = Some(self.chance(4)),
+            7 => self.service = None,
+            _ => {
+                if self.members[&name].silent_until <= self.now {
+                    self.confirm(&name);
+                }
+            }
+        }
+        if self.service.is_none() && self.chance(4) == 0 {
+            self.restart_service();
+        }
+        let now = at(self.now);
+        if let Some(service) = &mut self.service {
+            let effects = service.beat(now);
+            self.carry_out(effects);
+        }
+    }
+}
+
+fn at(ms: u64) -> Moment {
+    Moment::at_micros(ms * 1_000)
+}
+
+#[test]
+fn no_old_copy_is_taken_once_a_purge_is_reported_whatever_goes_wrong() {
+    let (mut purges, mut reports) = (0, 0);
+    for seed in 0..400 {
+        let mut world = World::new(seed, 4);
+        (0..300).for_each(|_| world.step());
+        // Then everything is well again: all is reported, and nobody stays fenced.
+        world.dies_in = None;
+        if world.service.is_none() {
+            world.restart_service();
+        }
+        world.members.values_mut().for_each(|member| member.silent_until = 0);
+        for _ in 0..60 {
+            world.now += 20;
+            let names: Vec<String> = world.members.keys().cloned().collect();
+            names.iter().for_each(|name| world.confirm(name));
+            let now = at(world.now);
+            let effects = world.service.as_mut().map(|service| service.beat(now)).unwrap_or_default();
+            world.carry_out(effects);
+        }
+        let service = world.service.as_ref().unwrap();
+        assert_eq!(service.open_purges(), 0, "{seed}: all are reported in the end");
+        assert_eq!(service.members().fenced().count(), 0, "{seed}: nobody is fenced for ever");
+        for number in &world.acknowledged {
+            let kept = world.log.iter().any(|e| matches!(e, Entry::Item(item) if item.number == *number));
+            assert!(kept, "{seed}: {number} was acknowledged and is not in the log");
+        }
+        (purges, reports) = (purges + world.acknowledged.len(), reports + world.reported.len());
+    }
+    assert!(purges > 8_000 && reports > 8_000, "{purges}, {reports}");
+}
+
+/// With nobody silent a purge is reached as soon as all have said so; with one silent, a fence later.
+#[test]
+fn a_purge_is_reported_with_who_was_fenced_for_it() {
+    let (mut service, _) = Service::open(&[], LIMIT, at(0));
+    ["a", "b", "c"].iter().for_each(|m| drop(service.confirm(m, 1, 0, true, at(0))));
+    let last = service.last();
+    ["a", "b", "c"].iter().for_each(|m| drop(service.confirm(m, 1, last, true, at(10))));
+    let (number, promise, effects) = service.submit(Scope::Group(1), 0, "k", at(10_000)).unwrap();
+    assert!(matches!(effects[..], [Effect::Write(_), Effect::Tell(_)]), "{effects:?}");
+    assert_eq!(promise.within_ms, 1_000);
+    service.confirm("a", 1, number, true, at(10_005));
+    service.confirm("b", 1, number, true, at(10_006));
+    let fenced = service.beat(at(10_260));
+    let tells = fenced.iter().filter(|e| matches!(e, Effect::Tell(Item { what: What::Fenced { .. }, .. })));
+    assert_eq!(tells.count(), 1);
+    let fence = service.last();
+    let report = |effects: Vec<Effect>| {
+        effects.into_iter().find_map(|e| match e {
+            Effect::Report(report) => Some(report),
+            _ => None,
+        })
+    };
+    assert_eq!(report(service.confirm("a", 1, fence, true, at(10_270)).1), None, "b may still take from c");
+    let report = report(service.confirm("b", 1, fence, true, at(10_275)).1).unwrap();
+    assert_eq!((report.reached_ms, report.kept, report.fenced), (275, true, vec!["c".to_string()]));
+}
+
+/// Killed between writing and answering, and between answering and telling: what was written is told by the next.
+#[test]
+fn a_service_killed_at_any_effect_loses_no_purge_and_doubles_none() {
+    for cut in 0..3 {
+        let (mut service, effects) = Service::open(&[], LIMIT, at(0));
+        let mut log: Vec<Entry> = effects.into_iter().filter_map(written).collect();
+        let (_, effects) = service.confirm("a", 1, 0, true, at(1));
+        log.extend(effects.into_iter().filter_map(written));
+        let (number, _, effects) = service.submit(Scope::Group(9), 4, "case-17", at(2)).unwrap();
+        log.extend(effects.into_iter().take(cut).filter_map(written));
+        let (mut next, _) = Service::open(&log, LIMIT, at(50));
+        let (again, _, effects) = next.submit(Scope::Group(9), 4, "case-17", at(60)).unwrap();
+        assert_eq!(again, number, "cut at {cut}");
+        assert_eq!(effects.is_empty(), cut > 0, "cut at {cut}: asked again, it is the same purge");
+        let (missing, _) = next.confirm("a", 1, 0, true, at(70));
+        let Missing::Items(items) = missing else { panic!("cut at {cut}") };
+        let purges = items.iter().filter(|item| matches!(item.what, What::Purge { .. })).count();
+        assert_eq!(purges, 1, "cut at {cut}");
+    }
+}
+
+fn written(effect: Effect) -> Option<Entry> {
+    match effect {
+        Effect::Write(entry) => Some(entry),
+        _ => None,
+    }
+}
+
+/// A member that was told of a span it can't have had: it starts with all that lives.
+#[test]
+fn what_is_forgotten_is_told_whole() {
+    let (mut service, _) = Service::open(&[], LIMIT, at(0));
+    for n in 0..20u32 {
+        service.submit(Scope::Group(n), 0, &format!("{n}"), at(1_000 + u64::from(n) * 100)).unwrap();
+    }
+    service.forget_before(2_000);
+    let (missing, _) = service.confirm("a", 1, 3, true, at(4_000));
+    let Missing::All { items, upto } = missing else { panic!("{missing:?}") };
+    assert_eq!((items.len(), items[0].number, upto), (10, 11, 20));
+}
