Purges are forgotten after an hour and the log written whole; fences that hold are told anew

Cause: the service kept every purge for good, and its log grew with each; a member away for long would have missed what was forgotten, and a fence forgotten with its number would have held nobody off. Member names are checked, members past the bound leave no trace. Calls of the command line are in one place.

--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,4 +1,5 @@
 //! The command `harestage`.
+mod ask;
 mod draw;
 mod log;
 mod purge;
--- a/crates/cli/src/purge.rs
+++ b/crates/cli/src/purge.rs
@@ -1,13 +1,11 @@
 //! `harestage purge`: the service of purges, and what is asked of it.
-use crate::exit;
+use crate::{ask, exit};
 use clap::{Args, Subcommand};
-use harestage_purge::lines::{Answer, Call, line};
+use harestage_purge::lines::{Answer, Call};
 use harestage_purge::promise::Report;
 use harestage_purge::scope::Scope;
-use std::io::{BufRead, BufReader, Write};
-use std::net::{SocketAddr, TcpStream};
+use std::net::SocketAddr;
 use std::process::ExitCode;
-use std::time::Duration;
 
 #[derive(Subcommand)]
 pub enum Purge {
@@ -135,17 +133,10 @@
 }
 
 fn call(service: &Service, call: &Call) -> Result<Answer, Failure> {
-    let away = |why: std::io::Error| Failure::Away(format!("service of purges {}: {why}", service.purges));
-    let stream = TcpStream::connect_timeout(&service.purges, Duration::from_secs(2)).map_err(away)?;
-    (&stream).write_all(&line(call)).map_err(away)?;
-    let mut text = String::new();
-    if BufReader::new(stream).read_line(&mut text).map_err(away)? == 0 {
-        return Err(Failure::Away("the service of purges went away".into()));
-    }
-    match serde_json::from_str(&text) {
-        Ok(Answer::Refused(why)) => Err(Failure::Refused(why)),
-        Ok(answer) => Ok(answer),
-        Err(why) => Err(Failure::Away(format!("an unreadable answer: {why}"))),
+    let mut call = ask::Call::begin("service of purges", service.purges, call).map_err(Failure::Away)?;
+    match call.next().map_err(Failure::Away)? {
+        Answer::Refused(why) => Err(Failure::Refused(why)),
+        answer => Ok(answer),
     }
 }
 
--- a/crates/cli/src/shape.rs
+++ b/crates/cli/src/shape.rs
@@ -1,20 +1,20 @@
 //! `harestage shape`: looks at shapes in files, and at the one in service.
-use crate::{draw, exit};
+use crate::{ask, draw, exit};
 use clap::Subcommand;
 use harestage::time::Moment;
 use harestage_shape::check::{self, Loads};
 use harestage_shape::control::{Said, Status};
 use harestage_shape::form::{self, ShapeForm};
-use harestage_shape::lines::{self, Answer, Call};
+use harestage_shape::lines::{Answer, Call};
 use harestage_shape::plan::{Plan, plan};
 use harestage_shape::tree::{self, ARCHIVE};
 use indicatif::{ProgressBar, ProgressStyle};
 use std::collections::BTreeSet;
-use std::io::{BufRead, BufReader, IsTerminal, Write};
-use std::net::{SocketAddr, TcpStream};
+use std::io::IsTerminal;
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::{SystemTime, UNIX_EPOCH};
 
 #[derive(Subcommand)]
 pub enum Shape {
@@ -184,7 +184,7 @@
     let wanted = read(file)?;
     let plan = match from {
         Some(from) => plan(&take(&from)?, &wanted, now()).map_err(|why| Failure::Refused(why.to_string()))?,
-        None => match call(service, &Call::Plan { form: Box::new(wanted) })?.next()? {
+        None => match call(service, &Call::Plan { form: Box::new(wanted) })?.next().map_err(Failure::Away)? {
             Answer::Plan(plan) => *plan,
             Answer::Refused(lines) => return Err(Failure::Refused(lines.join("\n"))),
             other => return Err(Failure::Away(format!("an answer of another kind: {other:?}"))),
@@ -218,27 +218,8 @@
     }
 }
 
-/// A call under way.
-struct Reading {
-    lines: BufReader<TcpStream>,
-}
-
-impl Reading {
-    fn next(&mut self) -> Result<Answer, Failure> {
-        let mut line = String::new();
-        let read = self.lines.read_line(&mut line).map_err(|why| Failure::Away(why.to_string()))?;
-        if read == 0 {
-            return Err(Failure::Away("the control service went away".into()));
-        }
-        serde_json::from_str(&line).map_err(|why| Failure::Away(format!("an unreadable answer: {why}")))
-    }
-}
-
-fn call(service: &Service, call: &Call) -> Result<Reading, Failure> {
-    let away = |why: std::io::Error| Failure::Away(format!("control service {}: {why}", service.control));
-    let stream = TcpStream::connect_timeout(&service.control, Duration::from_secs(2)).map_err(away)?;
-    (&stream).write_all(&lines::line(call)).map_err(away)?;
-    Ok(Reading { lines: BufReader::new(stream) })
+fn call(service: &Service, call: &Call) -> Result<ask::Call, Failure> {
+    ask::Call::begin("control service", service.control, call).map_err(Failure::Away)
 }
 
 fn apply(file: &Path, service: &Service, expect: Option<u64>, by: String, json: bool) -> Result<(), Failure> {
@@ -249,7 +230,7 @@
         ProgressBar::new(0).with_style(style.unwrap_or_else(|_| ProgressStyle::default_bar()))
     });
     loop {
-        let said = match reading.next()? {
+        let said = match reading.next().map_err(Failure::Away)? {
             Answer::Said(said) => said,
             Answer::Refused(lines) => return Err(Failure::Refused(lines.join("\n"))),
             other => return Err(Failure::Away(format!("an answer of another kind: {other:?}"))),
@@ -300,7 +281,7 @@
 }
 
 fn status(service: &Service, json: bool) -> Result<(), Failure> {
-    let status = match call(service, &Call::Status)?.next()? {
+    let status = match call(service, &Call::Status)?.next().map_err(Failure::Away)? {
         Answer::Status(status) => *status,
         other => return Err(Failure::Away(format!("an answer of another kind: {other:?}"))),
     };
--- a/crates/cli/tests/commands.rs
+++ b/crates/cli/tests/commands.rs
@@ -223,3 +223,33 @@
     assert!(edge.filled_from("c") > 20, "the new hub is asked: {}", edge.filled_from("c"));
     assert_eq!(edge.filled_from("b"), before, "the old one is not");
 }
+
+/// Asks for a purge as an operator does, and gets its report.
+#[test]
+fn a_purge_is_asked_for_and_reported_on() {
+    let scratch = Scratch::new("purge");
+    let archive = Archive::open(ArchiveScript { capacity: 400.0, ..ArchiveScript::default() });
+    let (service, at) = (free().to_string(), free());
+    let folder = scratch.0.join("purges").display().to_string();
+    let _service = Started::run(&["purges", "--listen", &service, "--folder", &folder]);
+    let shape = shape(archive.address, &[hub("a", at)], json!([]));
+    let file = json!({"name": "a", "listen": at.to_string(), "purges": service, "contents": [{"name": "clip"}],
+        "shape": shape});
+    let _hub = Started::run(&["hub", &scratch.write("a.json", &file)]);
+    let purge = |args: &[&str]| said(&harestage(&[&["purge"], args, &["--purges", &service]].concat()));
+    let until = Instant::now() + Duration::from_secs(10);
+    while !purge(&["status"]).1.contains("\na ") {
+        assert!(Instant::now() < until, "the hub never followed");
+        std::thread::sleep(Duration::from_millis(50));
+    }
+    let (code, out, err) = purge(&["submit", "--glob", "7f*", "--key", "case-17", "--wait"]);
+    assert!(code == 0 && out.contains("promised within") && out.contains("reached in"), "{out}{err}");
+    let (_, again, _) = purge(&["submit", "--glob", "7f*", "--key", "case-17", "--json"]);
+    let number = serde_json::from_str::<Value>(&again).unwrap()["number"].as_u64().unwrap();
+    assert!(out.starts_with(&format!("purge {number}:")), "the same purge: {out}{again}");
+    let (code, _, err) = purge(&["submit", "--glob", "**", "--key", "x"]);
+    assert!(code == 1 && err.contains("covers everything"), "{err}");
+    let (code, out, _) = purge(&["submit", "--regex", "7f.*", "--key", "y", "--dry-run"]);
+    assert!(code == 0 && out.contains("would be promised"), "{out}");
+    assert_eq!(purge(&["list"]).1.lines().count(), 1);
+}
--- a/crates/purge/src/follow.rs
+++ b/crates/purge/src/follow.rs
@@ -66,10 +66,15 @@
                     }
                 }
             }
-            ToMember::All { term, upto, items } => {
+            ToMember::All { term, upto, forgotten_ms, items } => {
                 if term < self.place.term {
                     return Err(Useless::Stale);
                 }
+                // Purges that were forgotten meanwhile may have meant anything that is as old.
+                if forgotten_ms > 0 {
+                    let at = Moment::at_micros(forgotten_ms.saturating_mul(1_000));
+                    acts.push(Act::Purge { scope: Checked::Everything, at });
+                }
                 self.fenced.clear();
                 items.iter().for_each(|item| self.take(item, &mut acts));
                 self.place = Place { term, number: upto };
--- a/crates/purge/src/lines.rs
+++ b/crates/purge/src/lines.rs
@@ -23,18 +23,26 @@
 #[serde(rename_all = "snake_case")]
 pub enum ToMember {
     Items { term: u64, items: Vec<Item> },
-    All { term: u64, upto: u64, items: Vec<Item> },
+    All { term: u64, upto: u64, forgotten_ms: u64, items: Vec<Item> },
 }
 
 impl ToMember {
     pub fn of(term: u64, missing: Missing) -> ToMember {
         match missing {
             Missing::Items(items) => ToMember::Items { term, items },
-            Missing::All { items, upto } => ToMember::All { term, upto, items },
+            Missing::All { items, upto, forgotten_ms } => ToMember::All { term, upto, forgotten_ms, items },
         }
     }
 }
 
+impl Confirm {
+    /// A name that can stand in a log and a list: 1 to 32 letters, digits, dots and dashes.
+    pub fn is_named_well(&self) -> bool {
+        let plain = |b: u8| b.is_ascii_alphanumeric() || matches!(b, b'-' | b'_' | b'.');
+        (1..=32).contains(&self.member.len()) && self.member.bytes().all(plain)
+    }
+}
+
 /// What a client asks for.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
--- a/crates/purge/src/order.rs
+++ b/crates/purge/src/order.rs
@@ -44,6 +44,12 @@
     Term {
         term: u64,
     },
+    /// What stood before is forgotten: all up to that number, the latest of it of that time.
+    Base {
+        term: u64,
+        upto: u64,
+        forgotten_ms: u64,
+    },
     Item(Item),
     /// A member has confirmed all up to that number, under the number of its process.
     Confirmed {
@@ -103,6 +109,8 @@
 pub struct Order {
     term: u64,
     last: u64,
+    /// The time of the latest item that was forgotten; 0 if none was.
+    forgotten_ms: u64,
     live: VecDeque<Item>,
     keys: HashMap<(u32, String), u64>,
     by_age: VecDeque<(u32, String)>,
@@ -125,6 +133,7 @@
         let mut order = Order {
             term: 0,
             last: 0,
+            forgotten_ms: 0,
             live: VecDeque::new(),
             keys: HashMap::new(),
             by_age: VecDeque::new(),
@@ -134,6 +143,11 @@
         for entry in entries {
             match entry {
                 Entry::Term { term } => order.term = order.term.max(term),
+                Entry::Base { term, upto, forgotten_ms } if order.last <= upto => {
+                    (order.term, order.last) = (order.term.max(term), upto);
+                    order.forgotten_ms = order.forgotten_ms.max(forgotten_ms);
+                    order.live.clear();
+                }
                 // Of an older term, behind a newer one: written by a service that did not know yet.
                 Entry::Item(item) if item.term == order.term && item.number == order.last + 1 => {
                     order.enter(item)
@@ -208,7 +222,8 @@
 
     /// Forgets what no living copy can be older than.
     pub fn forget_before(&mut self, at_ms: u64) {
-        while self.live.front().is_some_and(|item| item.at_ms < at_ms) {
+        while let Some(first) = self.live.front().filter(|item| item.at_ms < at_ms) {
+            self.forgotten_ms = self.forgotten_ms.max(first.at_ms);
             self.live.pop_front();
         }
     }
@@ -221,6 +236,15 @@
         self.term
     }
 
+    pub fn forgotten_ms(&self) -> u64 {
+        self.forgotten_ms
+    }
+
+    /// The number of the first that lives, or of the next.
+    pub fn first(&self) -> u64 {
+        self.live.front().map_or(self.last + 1, |item| item.number)
+    }
+
     pub fn last(&self) -> u64 {
         self.last
     }
--- a/crates/purge/src/promise.rs
+++ b/crates/purge/src/promise.rs
@@ -4,7 +4,7 @@
 use harestage::time::{Moment, Span};
 use hdrhistogram::Histogram;
 use serde::{Deserialize, Serialize};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// Nothing shorter is promised, whatever was measured: a promise is for days that are worse, too.
 const LEAST: Span = Span::millis(300);
@@ -113,6 +113,10 @@
         done.into_iter().filter_map(report).collect()
     }
 
+    pub fn numbers(&self) -> BTreeSet<u64> {
+        self.open.keys().copied().collect()
+    }
+
     pub fn open(&self) -> usize {
         self.open.len()
     }
--- a/crates/purge/src/service.rs
+++ b/crates/purge/src/service.rs
@@ -30,7 +30,9 @@
     /// These follow what it has.
     Items(Vec<Item>),
     /// What it lacks is in part forgotten, or its past is unknown: this is all that lives.
-    All { items: Vec<Item>, upto: u64 },
+    /// What was forgotten before is as old as `forgotten_ms` at most: who has been away for as long has to drop all that
+    /// is older.
+    All { items: Vec<Item>, upto: u64, forgotten_ms: u64 },
 }
 
 pub struct Service {
@@ -153,7 +155,8 @@
     fn write_down(&mut self, member: &str, start: u64, upto: u64, now: Moment) -> Vec<Effect> {
         let due =
             self.written.get(member).is_none_or(|(its, at)| *its != start || now.since(*at) >= WRITTEN_EVERY);
-        if !due || upto == 0 && self.order.last() > 0 {
+        // One that was not taken in, for there are too many, leaves no trace.
+        if !due || upto == 0 && self.order.last() > 0 || self.members.of(member).is_none() {
             return Vec::new();
         }
         self.written.insert(member.into(), (start, now));
@@ -165,7 +168,10 @@
         let after = if told_all { self.order.after(has) } else { None };
         match after {
             Some(items) => Missing::Items(items.cloned().collect()),
-            None => Missing::All { items: self.order.live().cloned().collect(), upto: self.order.last() },
+            None => {
+                let items = self.order.live().cloned().collect();
+                Missing::All { items, upto: self.order.last(), forgotten_ms: self.order.forgotten_ms() }
+            }
         }
     }
 
@@ -195,9 +201,45 @@
         each.collect()
     }
 
-    /// Forgets what no living copy can be older than.
-    pub fn forget_before(&mut self, at_ms: u64) {
+    /// Forgets items of before that time, Unix milliseconds, that everyone has or is fenced for. A fence that still holds
+    /// is told anew, so that whoever comes hears of it.
+    pub fn forget_before(&mut self, at_ms: u64, now: Moment) -> Vec<Effect> {
+        if self.watch.open() > 0 {
+            return Vec::new();
+        }
+        let before = self.order.first();
         self.order.forget_before(at_ms);
+        let first = self.order.first();
+        if first == before {
+            return Vec::new();
+        }
+        let held: Vec<String> =
+            self.fences.iter().filter(|(_, n)| **n < first).map(|(m, _)| m.clone()).collect();
+        let mut effects = Vec::new();
+        for member in held {
+            let item = self.order.note(What::Fenced { member: member.clone() }, now.micros() / 1_000);
+            self.fences.insert(member, item.number);
+            effects.extend(self.tell(item, now));
+        }
+        effects
+    }
+
+    /// Everything that a log has to hold to open the service as it is now.
+    pub fn whole(&self) -> Vec<Entry> {
+        let (term, upto) = (self.order.term(), self.order.first() - 1);
+        let base = Entry::Base { term, upto, forgotten_ms: self.order.forgotten_ms() };
+        let mut entries = vec![Entry::Term { term }, base];
+        // Under this term, whichever gave them their numbers: what counts has been sorted out.
+        entries.extend(self.order.live().cloned().map(|item| Entry::Item(Item { term, ..item })));
+        entries.extend(self.members.names().filter_map(|name| {
+            let (start, has) = self.members.of(name)?;
+            Some(Entry::Confirmed { term, member: name.into(), start, upto: has })
+        }));
+        let open = self.watch.numbers();
+        let purges = self.order.live().filter(|item| matches!(item.what, What::Purge { .. }));
+        let reported = purges.filter(|item| !open.contains(&item.number));
+        entries.extend(reported.map(|item| Entry::Reported { term, number: item.number }));
+        entries
     }
 
     /// Purges that live.
--- a/crates/purger/src/lib.rs
+++ b/crates/purger/src/lib.rs
@@ -6,6 +6,7 @@
 use async_io::{Async, Timer};
 use event_listener::Event;
 use futures_lite::future::or;
+use harestage::time::Span;
 use harestage_purge::lines::{Answer, Call, Confirm, MemberStatus, Status, ToMember, line};
 use harestage_purge::order::{Entry, Item, Limit};
 use harestage_purge::promise::Report;
@@ -20,7 +21,7 @@
 use std::net::{SocketAddr, TcpListener};
 use std::path::Path;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 const BEAT: Duration = Duration::from_millis(20);
 /// A peer that says nothing, or takes nothing, for as long is ended.
@@ -30,6 +31,11 @@
 const MOST_CONNECTIONS: usize = 8_192;
 /// Reports that are kept for whoever waits for them.
 const MOST_REPORTS: usize = 65_536;
+/// Purges are kept for members that were away; one that was away for longer drops all that is older.
+const KEPT: Span = Span::millis(3_600_000);
+/// The log is looked at so often, and written anew when so many entries have come since it last was.
+const LOOK_BACK: Duration = Duration::from_secs(10);
+const WHOLE_AFTER: usize = 100_000;
 /// Purges a second and at once that a tenant may ask for.
 const LIMIT: Limit = Limit { rate: 200.0, burst: 2_000.0 };
 
@@ -42,6 +48,8 @@
     told: RefCell<VecDeque<Item>>,
     reports: RefCell<BTreeMap<u64, Report>>,
     connections: Cell<usize>,
+    /// Entries since the log was last written whole.
+    since_whole: Cell<usize>,
     broken: Cell<bool>,
     news: Event,
 }
@@ -61,11 +69,15 @@
             _ => named(why.to_string()),
         })?;
         let (mut log, found) = Log::open(files, SEGMENT).map_err(|why| named(why.to_string()))?;
-        let entries = found.records.iter().map(|record| {
-            serde_json::from_slice(&record.bytes)
-                .map_err(|why| named(format!("record {} can't be read: {why}", record.number)))
-        });
-        let entries: Vec<Entry> = entries.collect::<Result<_, _>>()?;
+        let wrong =
+            |number: u64, why: serde_json::Error| named(format!("record {number} can't be read: {why}"));
+        let mut entries: Vec<Entry> = match &found.snapshot {
+            Some(whole) => serde_json::from_slice(&whole.bytes).map_err(|why| wrong(whole.number, why))?,
+            None => Vec::new(),
+        };
+        for record in &found.records {
+            entries.push(serde_json::from_slice(&record.bytes).map_err(|why| wrong(record.number, why))?);
+        }
         let clock = Clock::start();
         let (service, effects) = Service::open(&entries, LIMIT, clock.now());
         for effect in &effects {
@@ -84,6 +96,7 @@
             told: RefCell::default(),
             reports: RefCell::default(),
             connections: Cell::new(0),
+            since_whole: Cell::new(entries.len()),
             broken: Cell::new(false),
             news: Event::new(),
         };
@@ -121,6 +134,8 @@
         let mut log = self.log.borrow_mut();
         let writes =
             effects.iter().filter_map(|e| if let Effect::Write(entry) = e { Some(entry) } else { None });
+        let many = effects.iter().filter(|effect| matches!(effect, Effect::Write(_))).count();
+        self.since_whole.set(self.since_whole.get() + many);
         let mut wrote = writes.map(|entry| append(&mut log, entry)).find(Result::is_err).unwrap_or(Ok(()));
         wrote = wrote.and_then(|()| log.sync().map(drop).map_err(|why| why.to_string()));
         if let Err(why) = wrote {
@@ -158,6 +173,27 @@
         true
     }
 
+    /// Forgets what is old, and writes the log anew once it has grown.
+    fn forget(&self) {
+        let now = self.clock.now();
+        let effects = self.service.borrow_mut().forget_before(now.before(KEPT).micros() / 1_000, now);
+        if !self.carry_out(effects) || self.since_whole.get() < WHOLE_AFTER {
+            return;
+        }
+        let whole = serde_json::to_vec(&self.service.borrow().whole()).unwrap_or_default();
+        match self.log.borrow_mut().snapshot(&whole) {
+            Ok(upto) => {
+                info!(self.logger, "log written anew"; "upto" => upto, "bytes" => whole.len());
+                self.since_whole.set(0);
+            }
+            Err(why) => {
+                error!(self.logger, "log not written"; "why" => %why);
+                self.broken.set(true);
+                self.news.notify(usize::MAX);
+            }
+        }
+    }
+
     async fn until_news(&self, at_most: Duration) {
         let news = self.news.listen();
         or(news, async {
@@ -168,8 +204,13 @@
 }
 
 async fn turns(keeper: &Keeper) {
+    let mut looked = Instant::now();
     while !keeper.broken.get() {
         Timer::after(BEAT).await;
+        if looked.elapsed() > LOOK_BACK {
+            looked = Instant::now();
+            keeper.forget();
+        }
         let effects = keeper.service.borrow_mut().beat(keeper.clock.now());
         if !effects.is_empty() {
             keeper.carry_out(effects);
@@ -218,6 +259,9 @@
 
 /// A member: each of its lines is answered with what it lacks, and what is new is told at once.
 async fn member(keeper: &Keeper, lines: &mut Lines<'_>, first: Confirm) -> Result<(), String> {
+    if !first.is_named_well() {
+        return Err("a member of no usable name".into());
+    }
     let (name, stream) = (first.member.clone(), lines.stream());
     let mut next = first;
     loop {
--- a/crates/shape/src/control.rs
+++ b/crates/shape/src/control.rs
@@ -363,12 +363,6 @@
         self.kept.get(&number)
     }
 
-    /// The versions after `last` in their order, or none if some of them are no longer kept.
-    pub fn since(&self, last: u64) -> Option<Vec<&Shape>> {
-        let first = *self.kept.first_key_value()?.0;
-        (last + 1 >= first).then(|| self.kept.range(last + 1..).map(|(_, shape)| shape).collect())
-    }
-
     pub fn is_changing(&self) -> bool {
         self.runner.is_some()
     }
