News of a purge is confirmed at once, and none is missed while an answer is written

Cause: on four busy cores three hubs were fenced that were well: what came while the service wrote an answer counted as answered, so that it was told a pause later, and hubs confirmed it after another pause. Change: the service takes what is answered from before it writes; a hub confirms what is new without a pause.

--- a/crates/hub/src/net/purge_service.rs
+++ b/crates/hub/src/net/purge_service.rs
@@ -53,8 +53,14 @@
     info!(log, "purges up"; "has" => follower.confirm().has);
     *down = false;
     loop {
+        let before = follower.confirm();
         let told = within(limits.control_silence, "silent", lines.next()).await?;
         hands.apply(&told, follower).await?;
+        // What is new is confirmed at once: others wait for it, and a fence comes soon.
+        if follower.confirm() != before {
+            write_text(&stream, &line(&follower.confirm()), limits.control_silence).await?;
+            continue;
+        }
         // What comes within the pause is applied at once, and confirmed with what came before.
         let pause = async {
             Timer::after(SAYS_EVERY).await;
--- a/crates/purger/src/lib.rs
+++ b/crates/purger/src/lib.rs
@@ -268,17 +268,19 @@
         if next.member != name {
             return Err(format!("{name} calls itself {}", next.member));
         }
-        let (missing, effects) = {
+        // Up to here it is answered: what comes while the answer is written is news.
+        let (missing, effects, answered) = {
             let mut service = keeper.service.borrow_mut();
+            let answered = service.last();
             let now = keeper.clock.now();
-            service.confirm(&next.member, next.start, next.has, next.told_all, now)
+            let (missing, effects) = service.confirm(&next.member, next.start, next.has, next.told_all, now);
+            (missing, effects, answered)
         };
         if !keeper.carry_out(effects) {
             return Err("the log is broken".into());
         }
         let term = keeper.service.borrow().term();
         write_text(stream, &line(&ToMember::of(term, missing)), STALL).await?;
-        let answered = keeper.service.borrow().last();
         // What is new is told without being asked; the next line comes in its time.
         let heard = async { Some(lines.next().await) };
         let new = async {
