--- a/crates/control/src/journal.rs
+++ b/crates/control/src/journal.rs
@@ -124,6 +124,7 @@
 
 fn read_line(line: &[u8]) -> Option<Record> {
     let (sum, json) = line.split_at_checked(9)?;
-    let sum = u32::from_str_radix(std::str::from_utf8(&sum[..8]).ok()?, 16).ok()?;
+    let digits = sum.strip_suffix(b" ")?;
+    let sum = u32::from_str_radix(std::str::from_utf8(digits).ok()?, 16).ok()?;
     (sum == crc32fast::hash(json)).then(|| serde_json::from_slice(json).ok())?
 }
--- a/crates/hub/tests/desks.rs
+++ b/crates/hub/tests/desks.rs
@@ -495,6 +495,32 @@
     assert_eq!(ask(&mut net, 9, 1, &body), (Word::Full, Remark::SourceRefused), "no hub runs a write");
 }
 
+/// An ageing copy is given at once where the pull allows its age, and renewed behind where it asks for that.
+#[test]
+fn a_renewal_behind_an_answer_brings_a_younger_copy() {
+    let mut net = Net::new(&["a"], 1);
+    let page = Keeping { fresh: Some(Span::millis(500)), grace: Span::millis(5_000) };
+    let contents = HashMap::from([(Bytes::from_static(CONTENT), page)]);
+    let bounds = Bounds { store_bytes: 1 << 20, fills: 10, waiters: 40 };
+    net.desks.insert("a".into(), Desk::open("a", bounds, contents, net.at()));
+    net.tell("a", &tops(1, &["a"]));
+    net.ask("a", 1, 1);
+    net.run(900);
+    let aged = |net: &mut Net, no: u64, renew: bool| {
+        let mut asked = asked(1, 2_000, no);
+        (asked.oldest_ms, asked.renew) = (Some(5_000), renew);
+        net.step("a", vec![News::Asked { conn: no, asked: Box::new(asked) }]);
+        net.run(200);
+        net.answers.iter().find(|(conn, _)| *conn == no).map(|(_, given)| given.remark)
+    };
+    assert_eq!(aged(&mut net, 2, false), Some(Remark::Aged));
+    assert_eq!(net.fetches.len(), 1, "nobody asked for a renewal");
+    assert_eq!(aged(&mut net, 3, true), Some(Remark::Aged), "the answer does not wait for it");
+    assert_eq!(net.fetches.len(), 2);
+    assert_eq!(aged(&mut net, 4, true), Some(Remark::Hit));
+    assert_eq!((net.fetches.len(), net.desks["a"].fills()), (2, 0));
+}
+
 /// Bounds hold: what comes past them is turned away at once.
 #[test]
 fn fills_past_the_bound_are_turned_away() {
--- a/crates/shape/src/form.rs
+++ b/crates/shape/src/form.rs
@@ -45,7 +45,7 @@
     pub site: String,
     /// Fills a second that it gives out when it is warm.
     pub capacity: f64,
-    /// Part of what it is asked for that it has to ask for itself, from 0 to 1.
+    /// Part of what it is asked for that it has to ask for itself, renewals behind answers among it, from 0 to 1.
     #[serde(default = "half")]
     pub passes: f64,
     /// Unix milliseconds of its start; 0: warm for longer than anyone needs to know.
