--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -37,7 +37,7 @@
         /// Address and port for hubs and operators.
         #[arg(long)]
         listen: SocketAddr,
-        /// Where the service writes down what it tells.
+        /// The folder where the service writes down what it tells.
         #[arg(long)]
         journal: PathBuf,
         /// The shape to begin with, where the journal is new.
--- a/crates/control/src/serve.rs
+++ b/crates/control/src/serve.rs
@@ -11,6 +11,7 @@
 use harestage_shape::lines::{self, Answer, Call, FromMember, ToMember};
 use harestage_shape::plan;
 use harestage_shape::tree::Shape;
+use harestage_sockets::accept::{Open, accept};
 use harestage_sockets::clock::Clock;
 use harestage_sockets::lines::{Lines, within, write_text};
 use harestage_sockets::{Spawner, Stream};
@@ -42,7 +43,8 @@
     /// What was said lately, with its number.
     said: RefCell<VecDeque<(u64, Said)>>,
     numbered: Cell<u64>,
-    connections: Cell<usize>,
+    /// Connections of members, operators and routers together.
+    open: Open,
     /// Something was published or said.
     news: Event,
     /// The journal can't be written any more.
@@ -84,7 +86,7 @@
             log,
             said: RefCell::default(),
             numbered: Cell::new(0),
-            connections: Cell::new(0),
+            open: Open::new(MOST_CONNECTIONS),
             news: Event::new(),
             broken: Cell::new(false),
         };
@@ -163,28 +165,17 @@
 }
 
 async fn listen(service: Rc<Service>, listener: Async<TcpListener>, spawner: Spawner) {
-    loop {
-        match listener.accept().await {
-            Ok((stream, _)) if service.connections.get() < MOST_CONNECTIONS => {
-                let service = service.clone();
-                let serve = async move {
-                    service.connections.set(service.connections.get() + 1);
-                    let _ = stream.get_ref().set_nodelay(true);
-                    let why = first_line(&service, &stream).await;
-                    service.connections.set(service.connections.get() - 1);
-                    if !why.is_empty() {
-                        info!(service.log, "connection ended"; "why" => why);
-                    }
-                };
-                spawner.spawn(serve);
-            }
-            Ok(_) => {}
-            Err(why) => {
-                warn!(service.log, "accept failed"; "why" => %why);
-                Timer::after(BEAT).await;
+    let (log, open) = (service.log.clone(), service.open.clone());
+    let one = move |stream| {
+        let service = service.clone();
+        async move {
+            let why = first_line(&service, &stream).await;
+            if !why.is_empty() {
+                info!(service.log, "connection ended"; "why" => why);
             }
         }
-    }
+    };
+    accept(listener, open, spawner, one, |why| warn!(log, "accept failed"; "why" => %why)).await;
 }
 
 async fn in_time<T>(work: impl Future<Output = Result<T, String>>) -> Result<T, String> {
@@ -336,19 +327,15 @@
 
 async fn one_feed(service: Rc<Service>, listener: Async<TcpListener>, branch: String, spawner: Spawner) {
     info!(service.log, "branch feed open"; "branch" => &branch);
-    while let Ok((stream, _)) = listener.accept().await {
-        if service.connections.get() >= MOST_CONNECTIONS {
-            continue;
-        }
+    let (log, open) = (service.log.clone(), service.open.clone());
+    let one = move |stream| {
         let (service, branch) = (service.clone(), branch.clone());
-        let serve = async move {
-            service.connections.set(service.connections.get() + 1);
-            let why = router_feed(&service, &stream, &branch).await;
-            service.connections.set(service.connections.get() - 1);
-            info!(service.log, "router's feed ended"; "branch" => branch, "why" => why.err().unwrap_or_default());
-        };
-        spawner.spawn(serve);
-    }
+        async move {
+            let why = router_feed(&service, &stream, &branch).await.err().unwrap_or_default();
+            info!(service.log, "router's feed ended"; "branch" => branch, "why" => why);
+        }
+    };
+    accept(listener, open, spawner, one, |why| warn!(log, "accept failed"; "why" => %why)).await;
 }
 
 /// The platform's control feed to one router: `SUB N`, then an event for each later version, without a gap.
--- a/crates/purger/src/lib.rs
+++ b/crates/purger/src/lib.rs
@@ -12,6 +12,7 @@
 use harestage_purge::promise::Report;
 use harestage_purge::service::{Effect, Service};
 use harestage_segments::{Folder, Log};
+use harestage_sockets::accept::{Open, accept};
 use harestage_sockets::clock::Clock;
 use harestage_sockets::lines::{Lines, within, write_text};
 use harestage_sockets::{Spawner, Stream};
@@ -47,7 +48,6 @@
     /// Items in the order in which they may be told: all of them are on disk.
     told: RefCell<VecDeque<Item>>,
     reports: RefCell<BTreeMap<u64, Report>>,
-    connections: Cell<usize>,
     /// Entries since the log was last written whole.
     since_whole: Cell<usize>,
     broken: Cell<bool>,
@@ -95,7 +95,6 @@
             logger,
             told: RefCell::default(),
             reports: RefCell::default(),
-            connections: Cell::new(0),
             since_whole: Cell::new(entries.len()),
             broken: Cell::new(false),
             news: Event::new(),
@@ -219,27 +218,18 @@
 }
 
 async fn listen(keeper: Rc<Keeper>, listener: Async<TcpListener>, spawner: Spawner) {
-    loop {
-        match listener.accept().await {
-            Ok((stream, _)) if keeper.connections.get() < MOST_CONNECTIONS => {
-                let keeper = keeper.clone();
-                spawner.spawn(async move {
-                    keeper.connections.set(keeper.connections.get() + 1);
-                    let _ = stream.get_ref().set_nodelay(true);
-                    let why = serve(&keeper, &stream).await.err().unwrap_or_default();
-                    keeper.connections.set(keeper.connections.get() - 1);
-                    if !why.is_empty() {
-                        info!(keeper.logger, "connection ended"; "why" => why);
-                    }
-                });
-            }
-            Ok(_) => {}
-            Err(why) => {
-                warn!(keeper.logger, "accept failed"; "why" => %why);
-                Timer::after(BEAT).await;
+    let logger = keeper.logger.clone();
+    let one = move |stream| {
+        let keeper = keeper.clone();
+        async move {
+            let why = serve(&keeper, &stream).await.err().unwrap_or_default();
+            if !why.is_empty() {
+                info!(keeper.logger, "connection ended"; "why" => why);
             }
         }
-    }
+    };
+    let failed = |why| warn!(logger, "accept failed"; "why" => %why);
+    accept(listener, Open::new(MOST_CONNECTIONS), spawner, one, failed).await;
 }
 
 async fn serve(keeper: &Keeper, stream: &Stream) -> Result<(), String> {
--- a/crates/sockets/src/lib.rs
+++ b/crates/sockets/src/lib.rs
@@ -1,5 +1,6 @@
 //! Reading and writing messages on sockets, the same for router and hub: decoders are filled straight from the socket,
 //! and packets are written whole, several with one call to the system.
+pub mod accept;
 pub mod clock;
 pub mod lines;
 
