A router that has just started takes the others to be as busy as itself

Cause: a gate's room is for all routers that share it, and a router takes each of the others to have under way what it has itself on the mean. That mean began at nothing and moved by 0.5 divided by the sharers a beat (`Gate::beat`, src/brain.rs): with ninety routers in a zone it needs ten seconds to come to what it should.

Change: the mean is taken over all beats since the gate was opened, until the usual weight is larger.

The test fails without the change: 28 pulls out instead of at most 12.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -255,7 +255,9 @@
     fn beat(&mut self, now: Moment) {
         let (pace, ratio) = (self.sharers.min(PACE_MOST), self.shown.mean(now));
         let spare = 1.0 - ratio.unwrap_or(self.slow) / self.slow;
-        self.mean += (self.used - self.mean) * (MEAN_WEIGHT / self.sharers);
+        // From its start on the mean of all it has seen: a fresh router must not take the others to be idle.
+        self.beats += 1.0;
+        self.mean += (self.used - self.mean) * (MEAN_WEIGHT / self.sharers).max(1.0 / self.beats);
         if spare < 0.0 {
             let cut = ROOM_CUT.0.powf((-spare / ROOM_CUT.1).min(1.0) / pace);
             (self.growth, self.room) = (ROOM_GROWTH, (self.room * cut).max(ROOM_LEAST * self.part));
--- a/src/state.rs
+++ b/src/state.rs
@@ -303,6 +303,8 @@
     /// Of this router, now and over some time.
     pub(crate) used: f64,
     pub(crate) mean: f64,
+    /// Since it was opened.
+    pub(crate) beats: f64,
     /// Routers that stand before the same thing.
     pub(crate) sharers: f64,
     pub(crate) slow: f64,
--- a/tests/troubles.rs
+++ b/tests/troubles.rs
@@ -416,3 +416,23 @@
     let dls: Vec<_> = (100..160).map(|n| front.page(n)).collect();
     assert!(dls.iter().any(|dl| PARENTS.contains(&front.last_pull(*dl).pull.node.0)));
 }
+
+/// Guards against many routers that start together and each take all the others to be idle: what each of them may have
+/// under way is learnt from its own first second, not from ten.
+#[test]
+fn a_router_that_has_just_started_takes_the_others_to_be_as_busy_as_itself() {
+    let most_out = |routers: u16| {
+        let mut front =
+            Front::open(ServiceProfile { zone_routers: vec![0, 0, routers], routers, ..profile() });
+        let mut most = 0;
+        for n in 0..60 {
+            front.page(n);
+            front.page(100 + n);
+            front.wait(Span::millis(50));
+            most = most.max(front.out().len());
+        }
+        most
+    };
+    let (alone, among_many) = (most_out(1), most_out(90));
+    assert!(alone > 20 && among_many <= 12, "{alone} alone, {among_many} among ninety");
+}
