--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,6 +1,8 @@
 //! The command `harestage`.
 mod ask;
 mod draw;
+mod drill;
+mod group;
 mod log;
 mod purge;
 mod shape;
@@ -13,6 +15,8 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::ExitCode;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 
 /// A front for caches of large objects behind thin links.
 #[derive(Parser)]
@@ -21,6 +25,12 @@
     /// How the log on standard error is worded.
     #[arg(long, value_enum, default_value = "text", global = true)]
     log: log::Form,
+    /// For rigs: how far this process's wall clock is off, in milliseconds.
+    #[arg(long, hide = true, default_value_t = 0, allow_hyphen_values = true)]
+    clock_off_ms: i64,
+    /// For rigs: a folder that gets what each sync covers.
+    #[arg(long, hide = true)]
+    synced_copy: Option<PathBuf>,
     #[command(subcommand)]
     what: What,
 }
@@ -43,6 +53,8 @@
         /// The shape to begin with, where the journal is new.
         #[arg(long)]
         first: Option<PathBuf>,
+        #[command(flatten)]
+        group: group::Membership,
     },
     /// Run the service of purges.
     Purges {
@@ -52,6 +64,13 @@
         /// The folder of its log.
         #[arg(long)]
         folder: PathBuf,
+        #[command(flatten)]
+        group: group::Membership,
+    },
+    /// See who is in a service's group, and change that.
+    Group {
+        #[command(subcommand)]
+        what: group::Group,
     },
     /// Ask for purges, and see what became of them.
     Purge {
@@ -59,12 +78,25 @@
         what: purge::Purge,
     },
     /// Run a router, as `harestage-router` does.
-    Router { file: String },
+    Router {
+        file: String,
+        /// A further address of the control feed: where one breaks, the next is followed.
+        #[arg(long = "feed")]
+        feeds: Vec<SocketAddr>,
+    },
     /// Look at shapes, and change the one in service.
     Shape {
         #[command(subcommand)]
         what: shape::Shape,
     },
+    /// Play a scenario of many processes and faults on loopback, and judge it.
+    Drill(drill::Drill),
+    /// Stand-ins by a script: an archive, edge caches, clients.
+    #[command(hide = true)]
+    Standin { file: PathBuf },
+    /// Ends what a rig has started once the rig is gone.
+    #[command(hide = true)]
+    Mind,
     /// Print the JSON schema of a file.
     Schema {
         #[arg(value_enum)]
@@ -76,6 +108,7 @@
 enum SchemaOf {
     Shape,
     Hub,
+    Scenario,
 }
 
 /// What a script can tell failures by.
@@ -89,18 +122,31 @@
 }
 
 fn main() -> ExitCode {
-    let Harestage { log, what } = Harestage::parse();
+    let Harestage { log, clock_off_ms, synced_copy, what } = Harestage::parse();
+    harestage_sockets::clock::set_off(clock_off_ms);
+    if let Some(Err(why)) = synced_copy.map(|folder| harestage_segments::keep_synced_copy(&folder)) {
+        eprintln!("harestage: --synced-copy: {why}");
+        return ExitCode::from(exit::REFUSED);
+    }
     let told = match what {
         What::Hub { file } => hub(&file, log),
-        What::Control { listen, journal, first } => control(listen, &journal, first, log),
-        What::Purges { listen, folder } => purges(listen, &folder, log),
+        What::Control { listen, journal, first, group } => control(listen, &journal, first, &group, log),
+        What::Purges { listen, folder, group } => purges(listen, &folder, &group, log),
+        What::Group { what } => return group::run(what),
         What::Purge { what } => return purge::run(what),
-        What::Router { file } => harestage_router::program::run(&file),
+        What::Router { file, feeds } => harestage_router::program::run_with(&file, feeds),
         What::Shape { what } => return shape::run(what),
+        What::Drill(drill) => return drill::run(&drill),
+        What::Standin { file } => standin(&file),
+        What::Mind => {
+            harestage_fleet::mind::mind(std::io::stdin().lock());
+            Ok(())
+        }
         What::Schema { of } => {
             let text = match of {
                 SchemaOf::Shape => form::schema(),
                 SchemaOf::Hub => harestage_hub::start::schema(),
+                SchemaOf::Scenario => harestage_fleet::scenario::schema(),
             };
             print!("{text}");
             Ok(())
@@ -127,15 +173,36 @@
     listen: SocketAddr,
     journal: &std::path::Path,
     first: Option<PathBuf>,
+    group: &group::Membership,
     log_form: log::Form,
 ) -> Result<(), String> {
+    let start = group.checked("control")?;
     let first = first.map(|path| form::read_file(&path)).transpose().map_err(|why| why.to_string())?;
-    let (log, _written_at_end) = log::open("control", log_form);
-    let keeper = Keeper::open(listen, journal, first.as_ref(), log)?;
+    let (log, _written_at_end) = log::open(&start.name, log_form);
+    let keeper = Keeper::open_member(listen, journal, first.as_ref(), &start, log)?;
     keeper.serve(log::until_signal()?)
 }
 
-fn purges(listen: SocketAddr, folder: &std::path::Path, form: log::Form) -> Result<(), String> {
-    let (log, _written_at_end) = log::open("purges", form);
-    harestage_purger::Purger::open(listen, folder, log)?.serve(log::until_signal()?)
+fn purges(
+    listen: SocketAddr,
+    folder: &std::path::Path,
+    group: &group::Membership,
+    form: log::Form,
+) -> Result<(), String> {
+    let start = group.checked("purges")?;
+    let (log, _written_at_end) = log::open(&start.name, form);
+    harestage_purger::Purger::open_member(listen, folder, &start, log)?.serve(log::until_signal()?)
+}
+
+fn standin(file: &std::path::Path) -> Result<(), String> {
+    let named = |why: String| format!("{}: {why}", file.display());
+    let text = std::fs::read(file).map_err(|why| named(why.to_string()))?;
+    let script = harestage_standins::Script::read(&text).map_err(|why| named(why.to_string()))?;
+    let (signal, stop) = (log::until_signal()?, Arc::new(AtomicBool::new(false)));
+    let stopping = stop.clone();
+    std::thread::spawn(move || {
+        let _ = signal.recv_blocking();
+        stopping.store(true, Ordering::Relaxed);
+    });
+    script.play(&stop).map_err(|why| named(why.to_string()))
 }
--- a/crates/control/src/feed.rs
+++ b/crates/control/src/feed.rs
@@ -78,10 +78,13 @@
     form
 }
 
-/// The branches that have a feed of their own, with its address.
-pub fn feeds(shape: &Shape) -> Vec<(String, String)> {
+/// The branches that have a feed of their own at this member of the service, with its address.
+pub fn feeds(shape: &Shape, member: &str) -> Vec<(String, String)> {
     let feed = |(_, place): (PlaceIx, &Place)| match place {
-        Place::Branch(branch) => branch.feed.clone().map(|feed| (branch.name.clone(), feed)),
+        Place::Branch(branch) => {
+            let at = branch.feeds.get(member).or(branch.feed.as_ref());
+            at.map(|feed| (branch.name.clone(), feed.clone()))
+        }
         _ => None,
     };
     shape.places().filter_map(feed).collect()
--- a/crates/control/src/serve.rs
+++ b/crates/control/src/serve.rs
@@ -1,11 +1,13 @@
 //! The control service on sockets: one thread; one task turns the state machine, and one for each connection of a
-//! member, an operator or a router.
+//! member, an operator or a router. It is a member of a group, alone or with others: whoever leads runs the state machine
+//! on what the group has agreed on, and only it tells anyone anything, while it knows that it still leads.
 use crate::feed;
-use crate::journal::Journal;
+use crate::journal;
 use async_channel::Receiver;
 use async_io::{Async, Timer};
 use event_listener::Event;
 use futures_lite::future::or;
+use harestage_seats::{Council, CouncilStart, News};
 use harestage_shape::control::{Control, Effect, Said};
 use harestage_shape::form::ShapeForm;
 use harestage_shape::lines::{self, Answer, Call, FromMember, ToMember};
@@ -24,6 +26,8 @@
 use std::time::Duration;
 
 const BEAT: Duration = Duration::from_millis(50);
+/// How often whoever waits looks whether this member still speaks.
+const LOOK: Duration = Duration::from_millis(200);
 /// A member or router that takes no line for as long is ended, and one that says nothing at all before its first.
 const STALL: Duration = Duration::from_secs(5);
 const FEED_BEAT: Duration = Duration::from_millis(500);
@@ -36,10 +40,18 @@
 const MOST_SAID: usize = 1_024;
 
 struct Service {
-    control: RefCell<Control>,
-    journal: RefCell<Journal>,
+    council: Rc<Council>,
+    /// None: this member does not lead.
+    control: RefCell<Option<Control>>,
+    /// The shape to begin with, where nothing was agreed on yet.
+    first: Option<ShapeForm>,
+    /// What waits for the group to agree on the record at its head.
+    waiting: RefCell<VecDeque<Effect>>,
+    /// The newest version that may be told.
+    told: Cell<u64>,
     clock: Clock,
     log: Logger,
+    name: String,
     /// What was said lately, with its number.
     said: RefCell<VecDeque<(u64, Said)>>,
     numbered: Cell<u64>,
@@ -47,50 +59,63 @@
     open: Open,
     /// Something was published or said.
     news: Event,
-    /// The journal can't be written any more.
-    broken: Cell<bool>,
 }
 
 /// A service that listens already.
 pub struct Keeper {
     service: Rc<Service>,
     listener: Async<TcpListener>,
+    group_listen: Option<SocketAddr>,
 }
 
 impl Keeper {
-    /// Takes up the service where its journal ends, or with a first shape where there is none. An error is one line.
+    /// A group of one: takes up the service where its journal ends, or with a first shape where there is none. An error
+    /// is one line.
     pub fn open(
         listen: SocketAddr,
         journal: &Path,
         first: Option<&ShapeForm>,
         log: Logger,
     ) -> Result<Keeper, String> {
-        let (mut journal, records) = Journal::open(journal).map_err(|why| why.to_string())?;
+        Keeper::open_member(listen, journal, first, &CouncilStart::alone("control"), log)
+    }
+
+    /// One member of a group.
+    pub fn open_member(
+        listen: SocketAddr,
+        journal: &Path,
+        first: Option<&ShapeForm>,
+        start: &CouncilStart,
+        log: Logger,
+    ) -> Result<Keeper, String> {
         let clock = Clock::start();
-        if records.is_empty() && first.is_none() {
+        let council = Council::open(start, journal, Vec::new(), journal::read_old, clock, log.clone())
+            .map_err(|why| why.to_string())?;
+        if council.data().is_empty() && first.is_none() && !start.founders.is_empty() {
             return Err("the journal is empty, and no first shape was given".into());
         }
-        let (control, effects) =
-            Control::open(&records, first, clock.now()).map_err(|why| format!("first shape: {why}"))?;
+        // A shape that does not hold is refused before anything listens.
+        let records = journal::records(&council.data())?;
+        if let Some(first) = first {
+            Control::open(&records, Some(first), clock.now()).map_err(|why| format!("first shape: {why}"))?;
+        }
         let listener = Async::<TcpListener>::bind(listen)
             .map_err(|why| format!("key listen: {listen} can't be listened on: {why}"))?;
-        for effect in &effects {
-            if let Effect::Write(record) = effect {
-                journal.write(record).map_err(|why| format!("journal: {why}"))?;
-            }
-        }
         let service = Service {
-            control: RefCell::new(control),
-            journal: RefCell::new(journal),
+            council,
+            control: RefCell::new(None),
+            first: first.cloned(),
+            waiting: RefCell::default(),
+            told: Cell::new(0),
             clock,
             log,
+            name: start.name.clone(),
             said: RefCell::default(),
             numbered: Cell::new(0),
             open: Open::new(MOST_CONNECTIONS),
             news: Event::new(),
-            broken: Cell::new(false),
         };
-        Ok(Keeper { service: Rc::new(service), listener })
+        Ok(Keeper { service: Rc::new(service), listener, group_listen: start.listen })
     }
 
     pub fn address(&self) -> Option<SocketAddr> {
@@ -101,50 +126,132 @@
     pub fn serve(self, stop: Receiver<()>) -> Result<(), String> {
         let spawner = Spawner::default();
         let service = self.service.clone();
-        info!(service.log, "ready"; "term" => service.control.borrow().term(),
-            "version" => service.control.borrow().shape().version());
+        info!(service.log, "ready"; "name" => &service.name);
         let stopped = async {
             let _ = stop.recv().await;
         };
+        let hearing = service.clone();
         let work = async {
+            service.council.run(self.group_listen, &spawner, move |news| hearing.hear_news(news))?;
             spawner.spawn(listen(service.clone(), self.listener, spawner.clone()));
             spawner.spawn(branch_feeds(service.clone(), spawner.clone()));
             or(turns(&service), stopped).await;
+            Ok(())
         };
-        spawner.block_on(work);
-        if service.broken.get() { Err("the journal can't be written".into()) } else { Ok(()) }
+        spawner.block_on(work).and_then(|()| match service.council.is_broken() {
+            true => Err("the journal can't be written, or is not this member's".into()),
+            false => Ok(()),
+        })
     }
 }
 
 impl Service {
-    /// Carries effects out in their order. What can't be written down ends the service: nobody may hear of it.
+    /// What the group has agreed on, and who leads it.
+    fn hear_news(&self, news: News) {
+        match news {
+            News::Agreed(agreed) => {
+                // Of this member's own records the first is the one that waits; others' are in the data.
+                let mut waiting = self.waiting.borrow_mut();
+                if matches!(waiting.front(), Some(Effect::Write(own)) if journal::bytes(own) == agreed.data) {
+                    waiting.pop_front();
+                    drop(waiting);
+                    self.release();
+                }
+            }
+            News::Leads => self.take_up(),
+            News::SteppedDown | News::Replaced => self.lay_down(),
+            News::Broken => {
+                self.lay_down();
+                error!(self.log, "journal not written");
+            }
+        }
+    }
+
+    /// Runs the state machine from what was agreed on.
+    fn take_up(&self) {
+        let opened = journal::records(&self.council.data()).and_then(|records| {
+            Control::open(&records, self.first.as_ref(), self.clock.now()).map_err(|why| why.to_string())
+        });
+        match opened {
+            Ok((control, effects)) => {
+                info!(self.log, "takes up the service"; "term" => control.term(),
+                    "version" => control.shape().version());
+                self.lay_down();
+                *self.control.borrow_mut() = Some(control);
+                self.carry_out(effects);
+            }
+            Err(why) => error!(self.log, "service not taken up"; "why" => why),
+        }
+    }
+
+    fn lay_down(&self) {
+        *self.control.borrow_mut() = None;
+        self.waiting.borrow_mut().clear();
+        self.told.set(0);
+        self.news.notify(usize::MAX);
+    }
+
+    /// Carries effects out in their order, each once the records before it are agreed on.
     fn carry_out(&self, effects: Vec<Effect>) {
         for effect in effects {
-            match effect {
-                Effect::Write(record) => {
-                    if let Err(why) = self.journal.borrow_mut().write(&record) {
-                        error!(self.log, "journal not written"; "why" => %why);
-                        self.broken.set(true);
-                        self.news.notify(usize::MAX);
-                        return;
-                    }
-                }
-                Effect::Publish(version) => {
-                    info!(self.log, "published"; "version" => version);
-                    self.news.notify(usize::MAX);
+            let record =
+                if let Effect::Write(record) = &effect { Some(journal::bytes(record)) } else { None };
+            self.waiting.borrow_mut().push_back(effect);
+            if let Some(record) = record
+                && self.council.propose(record).is_err()
+            {
+                return self.lay_down();
+            }
+        }
+        while let Some(news) = self.council.take_news() {
+            self.hear_news(news);
+        }
+        self.release();
+    }
+
+    /// What waits for nothing any more.
+    fn release(&self) {
+        loop {
+            let next = {
+                let mut waiting = self.waiting.borrow_mut();
+                match waiting.front() {
+                    None | Some(Effect::Write(_)) => return,
+                    Some(_) => waiting.pop_front(),
                 }
-                Effect::Say(said) => {
-                    info!(self.log, "change"; "said" => serde_json::to_string(&said).unwrap_or_default());
-                    self.numbered.set(self.numbered.get() + 1);
-                    let mut all = self.said.borrow_mut();
-                    all.push_back((self.numbered.get(), said));
-                    if all.len() > MOST_SAID {
-                        all.pop_front();
-                    }
-                    self.news.notify(usize::MAX);
+            };
+            next.into_iter().for_each(|effect| self.tell_of(effect));
+        }
+    }
+
+    fn tell_of(&self, effect: Effect) {
+        match effect {
+            Effect::Write(_) => {}
+            Effect::Publish(version) => {
+                info!(self.log, "published"; "version" => version);
+                self.told.set(self.told.get().max(version));
+            }
+            Effect::Say(said) => {
+                info!(self.log, "change"; "said" => serde_json::to_string(&said).unwrap_or_default());
+                self.numbered.set(self.numbered.get() + 1);
+                let mut all = self.said.borrow_mut();
+                all.push_back((self.numbered.get(), said));
+                if all.len() > MOST_SAID {
+                    all.pop_front();
                 }
             }
         }
+        self.news.notify(usize::MAX);
+    }
+
+    /// Whether this member may tell anyone anything now.
+    fn speaks(&self) -> bool {
+        self.council.may_speak() && self.control.borrow().is_some()
+    }
+
+    /// Looks at the state, if it is this member's to look at.
+    fn with<T>(&self, look: impl FnOnce(&mut Control) -> T) -> Option<T> {
+        self.council.may_speak().then_some(())?;
+        self.control.borrow_mut().as_mut().map(look)
     }
 
     async fn until_news(&self, at_most: Duration) {
@@ -157,10 +264,14 @@
 }
 
 async fn turns(service: &Service) {
-    while !service.broken.get() {
+    while !service.council.is_broken() {
         Timer::after(BEAT).await;
-        let effects = service.control.borrow_mut().beat(service.clock.now());
-        service.carry_out(effects);
+        let now = service.clock.now();
+        let effects = service.with(|control| control.beat(now)).unwrap_or_default();
+        if !effects.is_empty() {
+            service.carry_out(effects);
+        }
+        service.council.tidy(journal::shortened);
     }
 }
 
@@ -197,6 +308,10 @@
         lines.most = LONGEST_REPORT;
         return or(hear(service, &mut lines, name), tell(service, stream, last)).await;
     }
+    if let Ok(call) = serde_json::from_slice::<harestage_seats::Call>(&line) {
+        let answer = service.council.answer(&call);
+        return write(stream, &lines::line(&answer)).await.err().unwrap_or_default();
+    }
     match serde_json::from_slice(&line) {
         Ok(call) => answer(service, stream, call).await.err().unwrap_or_default(),
         Err(why) => {
@@ -206,28 +321,33 @@
     }
 }
 
+/// Tells a member or an operator who does speak.
+async fn elsewhere(service: &Service, stream: &Stream) -> String {
+    let serves = service.council.elsewhere();
+    let _ = write(stream, &lines::line(&ToMember::Elsewhere { serves })).await;
+    String::new()
+}
+
 /// Versions to a member, each whole; one that was away gets the newest only.
 async fn tell(service: &Service, stream: &Stream, mut last: u64) -> String {
     loop {
-        // What was not written down must not be told, though the state has it already.
-        if service.broken.get() {
-            return "the journal is broken".into();
+        if !service.speaks() {
+            return elsewhere(service, stream).await;
         }
-        let news = {
-            let control = service.control.borrow();
-            let newest = control.shape();
-            (newest.version() > last).then(|| {
-                last = newest.version();
-                ToMember::Version { term: control.term(), shape: Box::new(feed::for_hubs(newest)) }
-            })
-        };
-        match news {
+        // What was not agreed on must not be told, though the state has it already.
+        let told = service.told.get();
+        let version = service.with(|control| {
+            let shape = control.version(told).filter(|shape| shape.version() > last)?;
+            Some(ToMember::Version { term: control.term(), shape: Box::new(feed::for_hubs(shape)) })
+        });
+        match version.flatten() {
             Some(version) => {
+                last = told;
                 if let Err(why) = write(stream, &lines::line(&version)).await {
                     return why;
                 }
             }
-            None => service.until_news(STALL).await,
+            None => service.until_news(LOOK).await,
         }
     }
 }
@@ -242,13 +362,16 @@
         let Ok(FromMember::Report(report)) = serde_json::from_slice(&line) else {
             return format!("{name}: an unreadable report");
         };
-        let (answer, effects) = {
-            let mut control = service.control.borrow_mut();
-            let (part, effects) = control.hear(name, &report, service.clock.now());
+        let now = service.clock.now();
+        let heard = service.with(|control| {
+            let (part, effects) = control.hear(name, &report, now);
             let beat = ToMember::Beat { term: control.term(), last: control.shape().version() };
             (part.map_or(beat, ToMember::Part), effects)
-        };
-        service.carry_out(effects);
+        });
+        let Some((answer, effects)) = heard else { return elsewhere(service, lines.stream()).await };
+        if !effects.is_empty() {
+            service.carry_out(effects);
+        }
         if let Err(why) = write(lines.stream(), &lines::line(&answer)).await {
             return why;
         }
@@ -257,26 +380,31 @@
 
 async fn answer(service: &Service, stream: &Stream, call: Call) -> Result<(), String> {
     let now = service.clock.now();
+    let refused = |text: String| Answer::Refused(text.lines().map(str::to_string).collect());
     let answer = match call {
-        Call::Status => Answer::Status(Box::new(service.control.borrow().status(now))),
-        Call::Shape => Answer::Shape(Box::new(service.control.borrow().shape().form())),
-        Call::Plan { form } => match plan::plan(service.control.borrow().shape(), &form, now) {
+        Call::Status => service.with(|control| Answer::Status(Box::new(control.status(now)))),
+        Call::Shape => service.with(|control| Answer::Shape(Box::new(control.shape().form()))),
+        Call::Plan { form } => service.with(|control| match plan::plan(control.shape(), &form, now) {
             Ok(plan) => Answer::Plan(Box::new(plan)),
-            Err(why) => Answer::Refused(why.to_string().lines().map(str::to_string).collect()),
-        },
+            Err(why) => refused(why.to_string()),
+        }),
         Call::Apply { form, expect, by } => {
             let from = service.numbered.get();
-            let begun = service.control.borrow_mut().apply(&form, expect, &by, now);
-            match begun {
-                Ok(effects) => {
+            match service.with(|control| control.apply(&form, expect, &by, now)) {
+                Some(Ok(effects)) => {
                     service.carry_out(effects);
                     return watch(service, stream, from, true).await;
                 }
-                Err(why) => Answer::Refused(why.to_string().lines().map(str::to_string).collect()),
+                Some(Err(why)) => Some(refused(why.to_string())),
+                None => None,
             }
         }
-        Call::Watch => return watch(service, stream, service.numbered.get(), false).await,
+        Call::Watch if service.speaks() => {
+            return watch(service, stream, service.numbered.get(), false).await;
+        }
+        Call::Watch => None,
     };
+    let answer = answer.unwrap_or_else(|| Answer::Elsewhere { serves: service.council.elsewhere() });
     write(stream, &lines::line(&answer)).await
 }
 
@@ -293,10 +421,11 @@
                 return Ok(());
             }
         }
-        if service.broken.get() {
-            return Err("the journal is broken".into());
+        if !service.speaks() {
+            let answer = Answer::Elsewhere { serves: service.council.elsewhere() };
+            return write(stream, &lines::line(&answer)).await;
         }
-        service.until_news(STALL).await;
+        service.until_news(LOOK).await;
     }
 }
 
@@ -304,7 +433,8 @@
 async fn branch_feeds(service: Rc<Service>, spawner: Spawner) {
     let mut open: BTreeMap<(String, String), async_executor::Task<()>> = BTreeMap::new();
     loop {
-        let wanted = feed::feeds(service.control.borrow().shape());
+        // Only who speaks has something to tell routers; they look for it among the feeds that they know.
+        let wanted = service.with(|control| feed::feeds(control.shape(), &service.name)).unwrap_or_default();
         open.retain(|feed, task| wanted.contains(feed) && !task.is_finished());
         for feed in wanted {
             if open.contains_key(&feed) {
@@ -321,7 +451,7 @@
                 Err(why) => warn!(service.log, "branch feed not open"; "branch" => branch, "why" => %why),
             }
         }
-        service.until_news(STALL).await;
+        service.until_news(LOOK).await;
     }
 }
 
@@ -345,21 +475,15 @@
     let first = std::str::from_utf8(&line).ok().and_then(|line| line.trim_end().strip_prefix("SUB "));
     let mut last: u64 = first.and_then(|n| n.parse().ok()).ok_or("no subscription")?;
     loop {
-        if service.broken.get() {
-            return Err("the journal is broken".into());
-        }
-        let text = {
-            let control = service.control.borrow();
-            events(&control, branch, &mut last)
-        };
-        write(stream, &text).await?;
+        let told = service.told.get();
+        let text = service.with(|control| events(control, branch, told, &mut last));
+        write(stream, &text.ok_or("this member does not speak")?).await?;
         service.until_news(FEED_BEAT).await;
     }
 }
 
 /// All events after `last`, or a beat where there are none.
-fn events(control: &Control, branch: &str, last: &mut u64) -> Vec<u8> {
-    let newest = control.shape().version();
+fn events(control: &Control, branch: &str, newest: u64, last: &mut u64) -> Vec<u8> {
     if *last >= newest {
         return feed::beat(newest);
     }
--- a/crates/control/tests/journals.rs
+++ b/crates/control/tests/journals.rs
@@ -1,9 +1,12 @@
-//! The service's journal: what is kept after a cut, held by another, and written whole. Crashes at every step are tried
-//! where the log is (`harestage_segments`).
-use harestage_control::journal::{Journal, JournalError};
+//! The service's journal: what is taken over from its older form, what is kept of a long one, and who may hold it.
+use harestage_control::journal;
+use harestage_control::serve::Keeper;
+use harestage_segments::{Folder, Log};
 use harestage_shape::control::{Entry, Record};
 use harestage_shape::form::{ArchiveForm, ShapeForm};
 use harestage_shape::run::Stage;
+use slog::{Discard, Logger, o};
+use std::net::{SocketAddr, TcpListener};
 use std::path::PathBuf;
 
 fn record(n: u64) -> Record {
@@ -11,55 +14,72 @@
     Record { term: 1, entry: if n == 0 { Entry::Opened } else { Entry::Stage(stage) } }
 }
 
+fn shape() -> Record {
+    let archive = ArchiveForm {
+        name: "archive".into(),
+        address: "127.0.0.1:2".into(),
+        capacity: 1.0,
+        stops_at: 2.0,
+        stops_within_ms: 1_000,
+    };
+    let shape = ShapeForm { version: 9, archive, hubs: Vec::new(), branches: Vec::new(), links: Vec::new() };
+    Record { term: 1, entry: Entry::Shape(Box::new(shape)) }
+}
+
 fn folder(name: &str) -> PathBuf {
     let path = std::env::temp_dir().join(format!("harestage-journal-{}-{name}", std::process::id()));
     let _ = std::fs::remove_dir_all(&path);
     path
 }
 
+fn free() -> SocketAddr {
+    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+}
+
+fn open(path: &std::path::Path) -> Result<Keeper, String> {
+    Keeper::open(free(), path, None, Logger::root(Discard, o!()))
+}
+
 #[test]
-fn a_journal_goes_on_after_a_cut_and_lets_one_service_in() {
-    let path = folder("cut");
-    let (mut journal, records) = Journal::open(&path).unwrap();
-    assert!(records.is_empty());
-    (0..3).for_each(|n| journal.write(&record(n)).unwrap());
-    assert!(matches!(Journal::open(&path), Err(JournalError::Held { .. })));
-    drop(journal);
-    let file = path.join("log-0000000000000001");
-    let bytes = std::fs::read(&file).unwrap();
-    std::fs::write(&file, &bytes[..bytes.len() - 5]).unwrap();
-    let (mut journal, records) = Journal::open(&path).unwrap();
-    assert_eq!(records, [record(0), record(1)]);
-    journal.write(&record(2)).unwrap();
-    drop(journal);
-    assert_eq!(Journal::open(&path).unwrap().1, [record(0), record(1), record(2)]);
-    std::fs::remove_dir_all(&path).unwrap();
+fn a_long_journal_is_kept_from_its_last_shape_on() {
+    let records: Vec<Record> = [record(0), shape(), record(1), shape(), record(7)].into();
+    let data: Vec<Vec<u8>> = records.iter().map(journal::bytes).collect();
+    assert_eq!(journal::records(&journal::shortened(data.clone())).unwrap(), records[3..]);
+    assert_eq!(journal::records(&journal::shortened(data[..1].to_vec())).unwrap(), records[..1]);
+    let broken = [data[0].clone(), b"{\"term\":1}".to_vec()];
+    assert!(journal::records(&broken).unwrap_err().contains("record 1"));
 }
 
+/// A service that wrote its journal before it was a group goes on with it, once.
 #[test]
-fn a_long_journal_is_written_whole_from_its_last_shape_on() {
-    let path = folder("whole");
-    let archive = ArchiveForm {
-        name: "archive".into(),
-        address: "127.0.0.1:2".into(),
-        capacity: 1.0,
-        stops_at: 2.0,
-        stops_within_ms: 1_000,
-    };
-    let shape = ShapeForm { version: 9, archive, hubs: Vec::new(), branches: Vec::new() };
-    let shape = Record { term: 1, entry: Entry::Shape(Box::new(shape)) };
-    let (mut journal, _) = Journal::open(&path).unwrap();
-    (0..1_100).for_each(|n| journal.write(&record(n)).unwrap());
-    journal.write(&shape).unwrap();
-    journal.write(&record(7)).unwrap();
-    drop(journal);
+fn an_older_journal_is_taken_over_whole() {
+    let path = folder("old");
+    let (mut log, _) = Log::open(Folder::open(&path).unwrap(), 1 << 20).unwrap();
+    for record in [record(0), shape()] {
+        log.append(&journal::bytes(&record)).unwrap();
+    }
+    log.sync().unwrap();
+    let whole = serde_json::to_vec(&[shape()]).unwrap();
+    log.snapshot(&whole).unwrap();
+    log.append(&journal::bytes(&record(0))).unwrap();
+    log.sync().unwrap();
+    drop(log);
     for _ in 0..2 {
-        let (_, records) = Journal::open(&path).unwrap();
-        assert_eq!(records, [shape.clone(), record(7)]);
+        drop(open(&path).unwrap());
+        let (_, found) = Log::open(Folder::open(&path).unwrap(), 1 << 20).unwrap();
+        let whole = found.snapshot.unwrap().bytes;
+        assert_ne!(whole.first(), Some(&b'['), "it stands there in the new form");
     }
-    let (mut journal, _) = Journal::open(&path).unwrap();
-    journal.write(&record(8)).unwrap();
-    drop(journal);
-    assert_eq!(Journal::open(&path).unwrap().1, [shape, record(7), record(8)]);
+    std::fs::remove_dir_all(&path).unwrap();
+}
+
+#[test]
+fn a_journal_lets_one_service_in_and_an_empty_one_needs_a_shape() {
+    let path = folder("held");
+    assert!(open(&path).err().unwrap().contains("no first shape"));
+    let Entry::Shape(form) = shape().entry else { unreachable!() };
+    let first = Keeper::open(free(), &path, Some(&form), Logger::root(Discard, o!())).unwrap();
+    assert!(open(&path).err().unwrap().contains("another service holds it"));
+    drop(first);
     std::fs::remove_dir_all(&path).unwrap();
 }
--- a/crates/hub/src/desk.rs
+++ b/crates/hub/src/desk.rs
@@ -50,6 +50,8 @@
 pub struct Keeping {
     pub fresh: Option<Span>,
     pub grace: Span,
+    /// What a download of it is worth.
+    pub benefit: f64,
 }
 
 /// A place that is asked: its name in the shape, and its address.
--- a/crates/hub/src/net/follow.rs
+++ b/crates/hub/src/net/follow.rs
@@ -9,6 +9,7 @@
 use harestage::time::Moment;
 use harestage_shape::lines::{self, FromMember, ToMember};
 use harestage_sockets::Stream;
+use harestage_sockets::leader::Leader;
 use harestage_sockets::lines::{Lines, within, write_text};
 use slog::{Logger, info, warn};
 use std::cell::{Cell, RefCell};
@@ -21,7 +22,8 @@
     pub shared: Rc<Shared>,
     pub inbox: Sender<News>,
     pub log: Logger,
-    pub control: SocketAddr,
+    /// Members of the control service.
+    pub controls: Vec<SocketAddr>,
 }
 
 /// Reports that wait for their part, at most.
@@ -31,15 +33,27 @@
     // The highest term heard: what an older one says comes from a service that was replaced.
     let term = Cell::new(0);
     let mut down = false;
+    let Some(leader) = Leader::among(follower.controls.clone()) else { return };
+    let leader = RefCell::new(leader);
     loop {
-        let why = match connect(&follower).await {
+        let at = leader.borrow().next();
+        let why = match connect(&follower, at).await {
             Ok(stream) => {
-                down = false;
-                info!(follower.log, "control up"; "version" => follower.shared.desk.borrow().version());
-                let asked = RefCell::new(VecDeque::new());
-                or(read(&follower, &stream, &term, &asked), report(&follower, &stream, &asked)).await
+                let link = Link {
+                    term: &term,
+                    asked: RefCell::default(),
+                    leader: &leader,
+                    at,
+                    up: Cell::new(false),
+                };
+                let why = or(read(&follower, &stream, &link), report(&follower, &stream, &link.asked)).await;
+                down &= !link.up.get();
+                why
+            }
+            Err(why) => {
+                leader.borrow_mut().missed();
+                why
             }
-            Err(why) => why,
         };
         if !std::mem::replace(&mut down, true) {
             warn!(follower.log, "control down"; "why" => why);
@@ -48,9 +62,29 @@
     }
 }
 
-async fn connect(follower: &Follower) -> Result<Stream, String> {
+/// A connection to a member of the service.
+struct Link<'a> {
+    term: &'a Cell<u64>,
+    /// When each report that is not answered yet was written.
+    asked: RefCell<VecDeque<Moment>>,
+    leader: &'a RefCell<Leader>,
+    at: SocketAddr,
+    /// It speaks.
+    up: Cell<bool>,
+}
+
+impl Link<'_> {
+    fn is_up(&self, follower: &Follower) {
+        if !self.up.replace(true) {
+            self.leader.borrow_mut().found(self.at);
+            info!(follower.log, "control up"; "version" => follower.shared.desk.borrow().version());
+        }
+    }
+}
+
+async fn connect(follower: &Follower, at: SocketAddr) -> Result<Stream, String> {
     let hello = lines::subscribe(follower.shared.desk.borrow().version(), &follower.shared.name);
-    super::subscribe(follower.control, hello.as_bytes(), follower.limits.connect).await
+    super::subscribe(at, hello.as_bytes(), follower.limits.connect).await
 }
 
 async fn report(follower: &Follower, stream: &Stream, asked: &RefCell<VecDeque<Moment>>) -> String {
@@ -69,55 +103,61 @@
     }
 }
 
-async fn read(
-    follower: &Follower,
-    stream: &Stream,
-    term: &Cell<u64>,
-    asked: &RefCell<VecDeque<Moment>>,
-) -> String {
+async fn read(follower: &Follower, stream: &Stream, link: &Link<'_>) -> String {
     let mut lines = Lines::new(stream, follower.limits.line_bytes);
     loop {
         let line = match within(follower.limits.control_silence, "silent", lines.next()).await {
             Ok(line) => line,
-            Err(why) => return why,
+            Err(why) => {
+                link.leader.borrow_mut().missed();
+                return why;
+            }
         };
         let Ok(line) = serde_json::from_slice(&line) else { return "an unreadable line".into() };
-        if let Some(why) = take_in(follower, line, term, asked).await {
+        if let Some(why) = take_in(follower, line, link).await {
             return why;
         }
     }
 }
 
 /// Some: the connection is of no further use.
-async fn take_in(
-    follower: &Follower,
-    line: ToMember,
-    term: &Cell<u64>,
-    asked: &RefCell<VecDeque<Moment>>,
-) -> Option<String> {
+async fn take_in(follower: &Follower, line: ToMember, link: &Link<'_>) -> Option<String> {
     let of_term = |its: u64| {
-        let stale = its < term.get();
-        term.set(its.max(term.get()));
-        stale.then(|| format!("of term {its}, after term {}", term.get()))
+        let stale = its < link.term.get();
+        link.term.set(its.max(link.term.get()));
+        if stale {
+            link.leader.borrow_mut().missed();
+        }
+        stale.then(|| format!("of term {its}, after term {}", link.term.get()))
     };
     match line {
         ToMember::Version { term: its, shape } => {
             if let Some(why) = of_term(its) {
                 return Some(why);
             }
+            link.is_up(follower);
             info!(follower.log, "version"; "number" => shape.version, "term" => its);
             let _ = follower.inbox.send(News::Told(shape)).await;
         }
         ToMember::Part(part) => {
-            let asked = asked.borrow_mut().pop_front();
+            link.is_up(follower);
+            let asked = link.asked.borrow_mut().pop_front();
             if let Some(asked) = asked {
                 let _ = follower.inbox.send(News::Part { part, asked }).await;
             }
         }
         // The answer to a report of a hub that needs no part.
         ToMember::Beat { term: its, .. } => {
-            asked.borrow_mut().pop_front();
-            return of_term(its);
+            link.asked.borrow_mut().pop_front();
+            let stale = of_term(its);
+            if stale.is_none() {
+                link.is_up(follower);
+            }
+            return stale;
+        }
+        ToMember::Elsewhere { serves } => {
+            link.leader.borrow_mut().elsewhere(serves.as_deref());
+            return Some("this member does not speak".into());
         }
     }
     None
--- a/crates/hub/src/net/mod.rs
+++ b/crates/hub/src/net/mod.rs
@@ -63,10 +63,10 @@
     let Hub { start, listener } = hub;
     let clock = Clock::start();
     let mut desk = Desk::open(&start.name, start.bounds.clone(), start.contents.clone(), clock.now());
-    if start.control.is_none() {
+    if start.controls.is_empty() {
         desk.stands_alone();
     }
-    if start.purges.is_some() {
+    if !start.purges.is_empty() {
         desk.waits_for_purges();
     }
     if !start.hands_over {
@@ -89,16 +89,16 @@
     info!(log, "ready"; "hub" => &start.name, "listen" => ?listener.get_ref().local_addr().ok());
     spawner.spawn(down::listen(below.clone(), listener, spawner.clone()));
     spawner.spawn(down::sweep(below.clone()));
-    if let Some(control) = start.control {
-        let (limits, inbox) = (limits.clone(), inbox.clone());
-        let follower = follow::Follower { limits, shared: shared.clone(), inbox, log: log.clone(), control };
+    if !start.controls.is_empty() {
+        let (limits, inbox, controls) = (limits.clone(), inbox.clone(), start.controls.clone());
+        let follower = follow::Follower { limits, shared: shared.clone(), inbox, log: log.clone(), controls };
         spawner.spawn(follow::follow(follower));
     }
     if let Some(feed) = start.feed {
         spawner.spawn(purges::follow(feed, limits.clone(), inbox.clone(), log.clone()));
     }
-    if let Some(service) = start.purges {
-        spawner.spawn(purge_service::follow(service, shared.clone(), limits, inbox, log.clone()));
+    if !start.purges.is_empty() {
+        spawner.spawn(purge_service::follow(start.purges, shared.clone(), limits, inbox, log.clone()));
     }
     let stopped = async {
         let _ = stop.recv().await;
--- a/crates/hub/src/net/purge_service.rs
+++ b/crates/hub/src/net/purge_service.rs
@@ -8,6 +8,7 @@
 use futures_lite::future::or;
 use harestage_purge::follow::{Act, Follower};
 use harestage_purge::lines::{ToMember, line};
+use harestage_sockets::leader::Leader;
 use harestage_sockets::lines::{Lines, within, write_text};
 use slog::{Logger, info, warn};
 use std::net::SocketAddr;
@@ -18,7 +19,7 @@
 const SAYS_EVERY: Duration = Duration::from_millis(80);
 
 pub(crate) async fn follow(
-    service: SocketAddr,
+    services: Vec<SocketAddr>,
     shared: Rc<Shared>,
     limits: Rc<Limits>,
     inbox: Sender<News>,
@@ -28,8 +29,9 @@
     let mut follower = Follower::new(&shared.name, shared.clock.now().micros());
     let mut down = false;
     let mut hands = Hands { shared, inbox, handed: 0, knows: false };
+    let Some(mut leader) = Leader::among(services) else { return };
     loop {
-        let why = stay(service, &mut follower, &limits, &mut hands, &log, &mut down)
+        let why = stay(&mut leader, &mut follower, &limits, &mut hands, &log, &mut down)
             .await
             .err()
             .unwrap_or_default();
@@ -41,20 +43,31 @@
 }
 
 async fn stay(
-    service: SocketAddr,
+    leader: &mut Leader,
     follower: &mut Follower,
     limits: &Limits,
     hands: &mut Hands,
     log: &Logger,
     down: &mut bool,
 ) -> Result<(), String> {
-    let stream = subscribe(service, &line(&follower.confirm()), limits.connect).await?;
+    let at = leader.next();
+    // Where it breaks without a word of who speaks, the next one is tried.
+    leader.missed();
+    let stream = subscribe(at, &line(&follower.confirm()), limits.connect).await?;
     let mut lines = Lines::new(&stream, limits.line_bytes);
-    info!(log, "purges up"; "has" => follower.confirm().has);
-    *down = false;
+    let mut up = false;
     loop {
         let before = follower.confirm();
         let told = within(limits.control_silence, "silent", lines.next()).await?;
+        if let Ok(ToMember::Elsewhere { serves }) = serde_json::from_slice(&told) {
+            leader.elsewhere(serves.as_deref());
+            return Err("this member does not speak".into());
+        }
+        if !std::mem::replace(&mut up, true) {
+            leader.found(at);
+            *down = false;
+            info!(log, "purges up"; "has" => follower.confirm().has);
+        }
         hands.apply(&told, follower).await?;
         // What is new is confirmed at once: others wait for it, and a fence comes soon.
         if follower.confirm() != before {
--- a/crates/hub/src/start.rs
+++ b/crates/hub/src/start.rs
@@ -21,12 +21,21 @@
     /// Where the control service is; absent: the shape below stays.
     #[serde(default)]
     pub control: Option<String>,
+    /// The same for a service that is a group: where each of its members is.
+    #[serde(default)]
+    pub controls: Vec<String>,
     /// Where a control feed in the platform's form tells of purges; absent: nobody does.
     #[serde(default)]
     pub feed: Option<String>,
     /// Where the service of purges is; absent: none.
     #[serde(default)]
     pub purges: Option<String>,
+    /// The same for a service that is a group: where each of its members is.
+    #[serde(default)]
+    pub purge_services: Vec<String>,
+    /// The site that it is at, for what it says of others.
+    #[serde(default)]
+    pub site: String,
     /// Memory for copies, in megabytes.
     #[serde(default = "usual_memory")]
     pub memory_mb: u64,
@@ -52,6 +61,13 @@
     pub fresh_ms: u64,
     #[serde(default)]
     pub grace_ms: u64,
+    /// What a download of it is worth, against the others.
+    #[serde(default = "one")]
+    pub benefit: f64,
+}
+
+fn one() -> f64 {
+    1.0
 }
 
 fn usual_memory() -> u64 {
@@ -69,9 +85,12 @@
 pub struct HubStart {
     pub name: String,
     pub listen: SocketAddr,
-    pub control: Option<SocketAddr>,
+    pub site: String,
+    /// Members of the control service; none: it stands alone.
+    pub controls: Vec<SocketAddr>,
     pub feed: Option<SocketAddr>,
-    pub purges: Option<SocketAddr>,
+    /// Members of the service of purges; none: it follows none.
+    pub purges: Vec<SocketAddr>,
     pub contents: HashMap<Bytes, Keeping>,
     pub shape: Option<ShapeForm>,
     pub bounds: Bounds,
@@ -124,6 +143,14 @@
             text.parse::<SocketAddr>()
                 .map_err(|_| format!("key {key}: {text:?} is not an address with a port"))
         };
+        let addresses = |one: &str, first: &Option<String>, many: &str, more: &[String]| {
+            let first = first.iter().map(|text| address(one, text));
+            let more = more.iter().enumerate().map(|(n, text)| address(&format!("{many}[{n}]"), text));
+            first.chain(more).collect::<Result<Vec<_>, String>>()
+        };
+        if !self.site.is_empty() && !harestage_wire::peer::is_name(&self.site) {
+            return Err(format!("key site: {:?} is not a name", self.site));
+        }
         if !harestage_wire::peer::is_name(&self.name) {
             return Err(format!(
                 "key name: {:?} is not a name of letters, digits, dots and dashes",
@@ -137,15 +164,21 @@
         let memory = within("memory_mb", self.memory_mb, 1 << 20)? << 20;
         let contents = self.contents.iter().map(|content| {
             let fresh = (content.fresh_ms > 0).then(|| Span::millis(content.fresh_ms));
-            let keeping = Keeping { fresh, grace: Span::millis(content.grace_ms) };
+            let keeping = Keeping { fresh, grace: Span::millis(content.grace_ms), benefit: content.benefit };
             (Bytes::from(content.name.clone().into_bytes()), keeping)
         });
+        for (n, content) in self.contents.iter().enumerate() {
+            if !(content.benefit.is_finite() && content.benefit > 0.0) {
+                return Err(format!("key contents[{n}].benefit: {} is not above 0", content.benefit));
+            }
+        }
         let fills = within("fills", self.fills, 1 << 20)?;
         let bounds = Bounds { store_bytes: memory, fills, waiters: fills * 8 };
         Ok(HubStart {
             listen: address("listen", &self.listen)?,
-            control: self.control.as_deref().map(|text| address("control", text)).transpose()?,
-            purges: self.purges.as_deref().map(|text| address("purges", text)).transpose()?,
+            controls: addresses("control", &self.control, "controls", &self.controls)?,
+            purges: addresses("purges", &self.purges, "purge_services", &self.purge_services)?,
+            site: self.site.clone(),
             feed: self.feed.as_deref().map(|text| address("feed", text)).transpose()?,
             contents: contents.collect(),
             shape: self.shape,
--- a/crates/hub/tests/desks.rs
+++ b/crates/hub/tests/desks.rs
@@ -40,7 +40,7 @@
         stops_within_ms: 3_000,
     };
     let hubs = hubs.iter().map(|(name, up)| hub_form(name, up)).collect();
-    ShapeForm { version, archive, hubs, branches: Vec::new() }
+    ShapeForm { version, archive, hubs, branches: Vec::new(), links: Vec::new() }
 }
 
 fn tops(version: u64, names: &[&str]) -> ShapeForm {
@@ -82,7 +82,7 @@
 impl Net {
     fn new(names: &[&str], seed: u64) -> Net {
         let bounds = Bounds { store_bytes: 1 << 20, fills: 1_000, waiters: 4_000 };
-        let keeping = Keeping { fresh: None, grace: Span::ZERO };
+        let keeping = Keeping { fresh: None, grace: Span::ZERO, benefit: 1.0 };
         let contents = HashMap::from([(Bytes::from_static(CONTENT), keeping)]);
         let desk = |name: &&str| {
             let desk = Desk::open(name, bounds.clone(), contents.clone(), Moment::at_micros(START));
@@ -499,7 +499,7 @@
 #[test]
 fn a_renewal_behind_an_answer_brings_a_younger_copy() {
     let mut net = Net::new(&["a"], 1);
-    let page = Keeping { fresh: Some(Span::millis(500)), grace: Span::millis(5_000) };
+    let page = Keeping { fresh: Some(Span::millis(500)), grace: Span::millis(5_000), benefit: 1.0 };
     let contents = HashMap::from([(Bytes::from_static(CONTENT), page)]);
     let bounds = Bounds { store_bytes: 1 << 20, fills: 10, waiters: 40 };
     net.desks.insert("a".into(), Desk::open("a", bounds, contents, net.at()));
--- a/crates/measure/src/branch.rs
+++ b/crates/measure/src/branch.rs
@@ -191,9 +191,11 @@
 pub fn form(name: &str, load: f64, hubs: &[&str], feed: SocketAddr) -> BranchForm {
     BranchForm {
         name: name.into(),
+        site: String::new(),
         load,
         hubs: hubs.iter().map(|hub| hub.to_string()).collect(),
         feed: Some(feed.to_string()),
+        feeds: Default::default(),
         caches: Vec::new(),
     }
 }
--- a/crates/measure/src/lib.rs
+++ b/crates/measure/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod rig;
 pub mod script;
 pub mod shape;
+pub mod three;
 
 use std::collections::BTreeMap;
 
--- a/crates/measure/src/purge.rs
+++ b/crates/measure/src/purge.rs
@@ -233,6 +233,7 @@
         archive: archive_form(&archive, 1e5),
         hubs: forms.collect(),
         branches: Vec::new(),
+        links: Vec::new(),
     };
     let links: Vec<Link> = (0..HUBS).map(|_| Link::to(service)).collect();
     let _hubs: Vec<Running> = addresses
--- a/crates/measure/src/rig.rs
+++ b/crates/measure/src/rig.rs
@@ -106,12 +106,15 @@
         name: name.into(),
         listen: listen.to_string(),
         control: None,
+        controls: Vec::new(),
         feed: None,
         purges: None,
+        purge_services: Vec::new(),
+        site: String::new(),
         memory_mb: 64,
         connections: 512,
         fills: 4_096,
-        contents: vec![ContentFile { name: "clip".into(), fresh_ms: 0, grace_ms: 0 }],
+        contents: vec![ContentFile { name: "clip".into(), fresh_ms: 0, grace_ms: 0, benefit: 1.0 }],
         shape: None,
     }
 }
--- a/crates/measure/src/shape.rs
+++ b/crates/measure/src/shape.rs
@@ -51,7 +51,13 @@
             let hub =
                 |(n, at): (usize, &SocketAddr)| HubForm { up: up(n), ..hub_form(&name(n), *at, 3_000.0, 0) };
             let hubs = addresses.iter().enumerate().map(hub).collect();
-            ShapeForm { version: 1, archive: archive_form(&archive, 4_000.0), hubs, branches: Vec::new() }
+            ShapeForm {
+                version: 1,
+                archive: archive_form(&archive, 4_000.0),
+                hubs,
+                branches: Vec::new(),
+                links: Vec::new(),
+            }
         };
         let script = Script::open(1_000.0);
         let _hubs: Vec<Running> =
@@ -134,8 +140,13 @@
         .map(|((name, _), front)| hub_form(name, front.address, CAPACITY, 0))
         .collect();
     let feeds = (0..3).map(|n| branch::form(&format!("br{n}"), RATE, &["a", "b"], free_address()));
-    let first =
-        ShapeForm { version: 1, archive: archive_form(&archive, ARCHIVE), hubs, branches: feeds.collect() };
+    let first = ShapeForm {
+        version: 1,
+        archive: archive_form(&archive, ARCHIVE),
+        hubs,
+        branches: feeds.collect(),
+        links: Vec::new(),
+    };
     let scripted = Script::open(ARCHIVE);
     let naive = way == Way::Naive;
     let service = (!naive).then(|| start_control(control, &scratch.file("journal"), &first));
@@ -261,9 +272,11 @@
         (0..3).flat_map(|tier| (0..tiers[tier]).map(move |n| (tier, n))).map(|(t, n)| hub(t, n)).collect();
     let branch = |n: usize| harestage_shape::form::BranchForm {
         name: format!("br-{n}"),
+        site: String::new(),
         load: 1.0 + (n % 7) as f64,
         hubs: vec![name(0, n), name(0, n * 3 + 1)],
         feed: None,
+        feeds: Default::default(),
         caches: Vec::new(),
     };
     let archive = harestage_shape::form::ArchiveForm {
@@ -277,7 +290,7 @@
         branch.hubs.dedup();
         branch
     });
-    ShapeForm { version: 1, archive, hubs, branches: branches.collect() }
+    ShapeForm { version: 1, archive, hubs, branches: branches.collect(), links: Vec::new() }
 }
 
 /// Versions that are kept alive for their memory.
--- /dev/null
+++ b/crates/measure/src/three.rs
@@ -0,0 +1,254 @@
+//! A fleet of three sites as a scenario: services, hubs, and branches with routers, edge caches and clients, each a process
+//! of its own, around one archive. Drills, tests and measurements change what they need of it.
+use harestage_fleet::scenario::{ProcessForm, Runs, Scenario, WayForm};
+use serde_json::{Map, Value, json};
+
+pub const SITES: [&str; 3] = ["east", "west", "north"];
+
+/// How large it is, and how it is used.
+#[derive(Clone, Debug)]
+pub struct Three {
+    pub name: String,
+    pub lasts_ms: u64,
+    /// Members of each service, over the sites in turn.
+    pub services: usize,
+    pub hubs_a_site: usize,
+    pub routers_a_branch: usize,
+    /// Fills a second that a hub gives out.
+    pub hub_capacity: f64,
+    pub archive_capacity: f64,
+    /// Downloads a second of each branch.
+    pub rate: f64,
+    pub objects: u64,
+    pub comes_again: u32,
+    pub surge: Option<Value>,
+    pub purges: bool,
+    pub hands_over_sites: bool,
+}
+
+impl Default for Three {
+    fn default() -> Three {
+        Three {
+            name: "three sites".into(),
+            lasts_ms: 10_000,
+            services: 1,
+            hubs_a_site: 2,
+            routers_a_branch: 1,
+            hub_capacity: 200.0,
+            archive_capacity: 150.0,
+            rate: 30.0,
+            objects: 400,
+            comes_again: 2,
+            surge: None,
+            purges: false,
+            hands_over_sites: true,
+        }
+    }
+}
+
+pub fn branch(site: &str) -> String {
+    format!("br-{site}")
+}
+
+pub fn hub(site: &str, n: usize) -> String {
+    format!("hub-{site}-{n}")
+}
+
+pub fn control(n: usize) -> String {
+    format!("control-{n}")
+}
+
+fn map(value: Value) -> Map<String, Value> {
+    value.as_object().cloned().unwrap_or_default()
+}
+
+fn process(name: &str, site: &str, runs: Runs, file: Value) -> ProcessForm {
+    ProcessForm {
+        name: name.into(),
+        site: site.into(),
+        runs,
+        file: map(file),
+        words: Vec::new(),
+        ports: Vec::new(),
+        starts_ms: 0,
+        clock_off_ms: 0,
+        forgets_unsynced: false,
+    }
+}
+
+impl Three {
+    /// All hubs, each with its site.
+    pub fn hubs(&self) -> Vec<(&'static str, String)> {
+        SITES.iter().flat_map(|site| (1..=self.hubs_a_site).map(|n| (*site, hub(site, n)))).collect()
+    }
+
+    /// The shape in service at the start. Each branch is tied to a hub of its own site and to one of the next.
+    pub fn shape(&self) -> Value {
+        let hubs = self.hubs().into_iter().map(|(site, name)| {
+            json!({"name": name, "address": format!("@{name}"), "site": site, "capacity": self.hub_capacity,
+                "passes": 0.3, "cold_ms": 4_000, "up": ["archive"]})
+        });
+        let branches = SITES.iter().enumerate().map(|(n, site)| {
+            let next = SITES[(n + 1) % SITES.len()];
+            let caches = json!([{"name": format!("s-{n}"), "address": format!("@edge-{site}")}]);
+            let feeds: Map<String, Value> = (1..=self.services)
+                .map(|n| (control(n), json!(format!("!{}/{}", control(n), branch(site)))))
+                .collect();
+            json!({"name": branch(site), "site": site, "load": self.rate, "hubs": [hub(site, 1), hub(next, 1)],
+                "feeds": feeds, "caches": caches})
+        });
+        json!({
+            "archive": {"name": "archive", "address": "@archive", "capacity": self.archive_capacity, "stops_at": 2.5},
+            "hubs": hubs.collect::<Vec<_>>(), "branches": branches.collect::<Vec<_>>()
+        })
+    }
+
+    pub fn scenario(&self) -> Scenario {
+        let mut processes = vec![self.archive()];
+        processes.extend((1..=self.services).map(|n| self.control(n)));
+        if self.purges {
+            processes.extend((1..=self.services).map(|n| self.purger(n)));
+        }
+        processes.extend(self.hubs().into_iter().map(|(site, name)| self.hub(site, &name)));
+        for (n, site) in SITES.iter().enumerate() {
+            processes.push(self.edge(site));
+            processes.extend((1..=self.routers_a_branch).map(|r| self.router(site, r)));
+            processes.push(self.crowd(n, site));
+        }
+        let mut sites: Vec<String> = SITES.iter().map(|site| site.to_string()).collect();
+        sites.extend(SITES.iter().map(|site| branch(site)));
+        sites.push("core".into());
+        let way = |from: &str, to: &str, delay_ms: u64| WayForm {
+            from: from.into(),
+            to: to.into(),
+            delay_ms,
+            both: true,
+            ..WayForm::default()
+        };
+        let ways = vec![
+            way("east", "west", 3),
+            way("west", "north", 3),
+            way("north", "east", 3),
+            way("*", "core", 2),
+        ];
+        let (name, lasts_ms) = (self.name.clone(), self.lasts_ms);
+        Scenario { name, lasts_ms, sites, processes, ways, faults: Vec::new(), expects: Vec::new() }
+    }
+
+    fn archive(&self) -> ProcessForm {
+        let behaves = json!({"capacity": self.archive_capacity, "stops_at": 2.5, "answers_in_ms": 10});
+        let file = json!({"archives": [{"listen": "!archive", "behaves": behaves}]});
+        process("archive", "core", Runs::Standin, file)
+    }
+
+    fn control(&self, n: usize) -> ProcessForm {
+        let name = control(n);
+        let mut form = process(&name, SITES[(n - 1) % SITES.len()], Runs::Control, self.shape());
+        form.ports = SITES.iter().map(|site| branch(site)).collect();
+        form.ports.push("group".into());
+        form.forgets_unsynced = true;
+        if self.services > 1 {
+            form.words = self.group(&name, control);
+        }
+        form
+    }
+
+    fn purger(&self, n: usize) -> ProcessForm {
+        let of = |n: usize| format!("purges-{n}");
+        let name = of(n);
+        let mut form = process(&name, SITES[(n - 1) % SITES.len()], Runs::Purges, json!({}));
+        form.ports = vec!["group".into()];
+        form.forgets_unsynced = true;
+        if self.services > 1 {
+            form.words = self.group(&name, of);
+        }
+        form
+    }
+
+    /// The words by which a member finds its group.
+    fn group(&self, name: &str, of: impl Fn(usize) -> String) -> Vec<String> {
+        let mut words =
+            vec!["--member".to_string(), name.into(), "--group-listen".into(), format!("!{name}/group")];
+        for n in 1..=self.services {
+            let (peer, site) = (of(n), SITES[(n - 1) % SITES.len()]);
+            words.extend([
+                "--peer".to_string(),
+                format!("{peer}={site}"),
+                "--at".into(),
+                format!("@{peer}/group"),
+            ]);
+            words.extend(["--serves".to_string(), format!("@{peer}")]);
+        }
+        words
+    }
+
+    fn hub(&self, site: &str, name: &str) -> ProcessForm {
+        let controls: Vec<String> = (1..=self.services).map(|n| format!("@{}", control(n))).collect();
+        let mut file = json!({"name": name, "listen": format!("!{name}"), "controls": controls, "site": site,
+            "memory_mb": 64, "contents": contents()});
+        if self.purges {
+            let purges: Vec<String> = (1..=self.services).map(|n| format!("@purges-{n}")).collect();
+            file["purge_services"] = json!(purges);
+        }
+        process(name, site, Runs::Hub, file)
+    }
+
+    fn edge(&self, site: &str) -> ProcessForm {
+        let mut sources: Map<String, Value> =
+            self.hubs().into_iter().map(|(_, name)| (name.clone(), json!(format!("@{name}")))).collect();
+        sources.insert("archive".into(), json!("@archive"));
+        let name = format!("edge-{site}");
+        let file = json!({"edges": [{"listen": format!("!{name}"), "sources": sources}]});
+        process(&name, &branch(site), Runs::Standin, file)
+    }
+
+    fn router(&self, site: &str, n: usize) -> ProcessForm {
+        let name = format!("router-{site}-{n}");
+        let feeds: Vec<String> =
+            (1..=self.services).map(|c| format!("@{}/{}", control(c), branch(site))).collect();
+        let file = json!({"name": name, "listen": format!("!{name}"), "seed": format!("{:016x}", 77 + n as u64),
+            "feed": feeds[0], "limits": {"memory_mb": 96, "sockets": 512},
+            "known": {"n": 0, "events": []}, "settings": settings(self.routers_a_branch)});
+        let mut form = process(&name, &branch(site), Runs::Router, file);
+        form.words = feeds.iter().skip(1).flat_map(|feed| ["--feed".to_string(), feed.clone()]).collect();
+        form
+    }
+
+    fn crowd(&self, n: usize, site: &str) -> ProcessForm {
+        let routers: Vec<String> =
+            (1..=self.routers_a_branch).map(|r| format!("@router-{site}-{r}")).collect();
+        let mut crowd = json!({"routers": routers, "rate": self.rate, "objects": self.objects, "seed": 5 + n,
+            "begins_ms": 1_500, "lasts_ms": self.lasts_ms.saturating_sub(1_500), "comes_again": self.comes_again,
+            "contents": [
+                {"name": "clip", "share": 6, "waits_ms": 3_000, "target_ms": 600, "benefit": 2},
+                {"name": "page", "share": 4, "waits_ms": 2_000, "target_ms": 400},
+                {"name": "filing", "share": 0.3, "waits_ms": 3_000, "target_ms": 700, "benefit": 3, "filing": true}]});
+        if let Some(surge) = &self.surge {
+            crowd["surge"] = surge.clone();
+        }
+        process(&format!("crowd-{site}"), &branch(site), Runs::Standin, json!({"crowds": [crowd]}))
+    }
+}
+
+pub fn contents() -> Value {
+    json!([{"name": "clip", "benefit": 2}, {"name": "page"}, {"name": "filing", "benefit": 3}])
+}
+
+/// A router's settings, as the platform gives them.
+fn settings(routers: usize) -> Value {
+    let class = |name: &str, aim: u64, effect: &str, worth: f64| json!({"Name": name, "Aim": aim, "Idempotency": effect, "Worth": worth});
+    json!({
+        "Allowed": {"Cancel": true, "ConnectTimeout": 400_000, "IdleClose": 30_000_000, "MaxAttempts": 6,
+            "MaxRetryAfter": 500_000, "MostHeld": 20_000, "RetryAfter": true, "StreamsPerConn": 100},
+        "Balancers": routers,
+        "Classes": [class("clip", 600_000, "repeatable", 2.0), class("page", 400_000, "repeatable", 1.0),
+            class("filing", 700_000, "once", 3.0)],
+        "FamilyInfo": {"MidKind": 1, "StoreKind": 2, "CountByZone": [0, routers], "FlowKbPerS": 8_000.0,
+            "ZoneLinkKbPerS": [0.0, 800_000.0], "GoodFor": [0, 0, 0], "GraceFor": [0, 0, 0],
+            "ClassWrite": [false, false, true], "ClassParts": [false, false, false], "PurgeSettles": 6_000_000,
+            "ParentColdFrom": 0.5, "ParentRamp": 4_000_000, "ParentBreaksAt": 4.0},
+        "Localities": ["hub", "here"], "Shapes": ["std", "parent", "origin"],
+        "Safety": {"Cold": 4_000_000, "ColdFrom": 0.5, "Fall": 2_000_000, "FallMultiple": 4.0},
+        "Zone": 1
+    })
+}
--- a/crates/measure/tests/purge.rs
+++ b/crates/measure/tests/purge.rs
@@ -65,6 +65,7 @@
             archive: archive_form(&archive, 2_000.0),
             hubs: forms.collect(),
             branches: Vec::new(),
+            links: Vec::new(),
         };
         let running = Some(start_purger(service, &scratch.file("purges")));
         let mut site =
--- a/crates/measure/tests/shape.rs
+++ b/crates/measure/tests/shape.rs
@@ -38,8 +38,13 @@
             ["a", "b"].map(|name| (name.to_string(), free_address())).into();
         let hubs = addresses.iter().map(|(name, address)| hub_form(name, *address, 300.0, 0)).collect();
         let feeds = (0..branches).map(|n| branch::form(&format!("br{n}"), load, &["a", "b"], free_address()));
-        let first =
-            ShapeForm { version: 1, archive: archive_form(&archive, 400.0), hubs, branches: feeds.collect() };
+        let first = ShapeForm {
+            version: 1,
+            archive: archive_form(&archive, 400.0),
+            hubs,
+            branches: feeds.collect(),
+            links: Vec::new(),
+        };
         let mut site = Site {
             archive,
             control,
@@ -117,7 +122,13 @@
             let hub =
                 |(n, at): (usize, &SocketAddr)| HubForm { up: up(n), ..hub_form(&name(n), *at, 300.0, 0) };
             let hubs = addresses.iter().enumerate().map(hub).collect();
-            ShapeForm { version: 1, archive: archive_form(&archive, 400.0), hubs, branches: Vec::new() }
+            ShapeForm {
+                version: 1,
+                archive: archive_form(&archive, 400.0),
+                hubs,
+                branches: Vec::new(),
+                links: Vec::new(),
+            }
         };
         let _hubs: Vec<Running> =
             (0..many).map(|n| start_hub(&name(n), addresses[n], None, Some(shape(n)))).collect();
@@ -261,6 +272,7 @@
         archive: archive_form(&archive, 400.0),
         hubs: vec![hub_form("a", address, 300.0, 0)],
         branches: Vec::new(),
+        links: Vec::new(),
     };
     let said = |term, version| line(&ToMember::Version { term, shape: Box::new(shape(version)) });
     let (stream, _) = listener.accept().unwrap();
@@ -290,6 +302,7 @@
         archive: archive_form(&archive, 400.0),
         hubs: vec![hub_form("a", address, 300.0, 0)],
         branches: Vec::new(),
+        links: Vec::new(),
     };
     let _hub = start_hub("a", address, None, Some(shape));
     let good = Caller::to(address).unwrap();
@@ -332,6 +345,7 @@
             hub_form("s", link.address, 300.0, 0),
         ],
         branches: Vec::new(),
+        links: Vec::new(),
     };
     let _hubs = [
         start_hub("a", a, None, Some(shape.clone())),
@@ -355,6 +369,7 @@
         archive: archive_form(&archive, 400.0),
         hubs: vec![hub_form("a", address, 300.0, 0)],
         branches: Vec::new(),
+        links: Vec::new(),
     };
     let _hub = start_hub_with_feed("a", address, shape, feed.local_addr().unwrap());
     let caller = Caller::to(address).unwrap();
--- a/crates/purge/src/follow.rs
+++ b/crates/purge/src/follow.rs
@@ -66,6 +66,8 @@
                     }
                 }
             }
+            // It tells nothing of purges: whoever reads the line goes elsewhere.
+            ToMember::Elsewhere { .. } => {}
             ToMember::All { term, upto, forgotten_ms, items } => {
                 if term < self.place.term {
                     return Err(Useless::Stale);
--- a/crates/purge/src/lines.rs
+++ b/crates/purge/src/lines.rs
@@ -22,8 +22,20 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum ToMember {
-    Items { term: u64, items: Vec<Item> },
-    All { term: u64, upto: u64, forgotten_ms: u64, items: Vec<Item> },
+    Items {
+        term: u64,
+        items: Vec<Item>,
+    },
+    All {
+        term: u64,
+        upto: u64,
+        forgotten_ms: u64,
+        items: Vec<Item>,
+    },
+    /// This member of the service does not speak for it; the one that does is there, if that is known.
+    Elsewhere {
+        serves: Option<String>,
+    },
 }
 
 impl ToMember {
@@ -65,11 +77,18 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Answer {
-    Accepted { number: u64, promise: Promise },
+    Accepted {
+        number: u64,
+        promise: Promise,
+    },
     Report(Report),
     Status(Status),
     List(Vec<Item>),
     Refused(String),
+    /// This member of the service does not speak for it; the one that does is there, if that is known.
+    Elsewhere {
+        serves: Option<String>,
+    },
 }
 
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
--- a/crates/router/src/program/mod.rs
+++ b/crates/router/src/program/mod.rs
@@ -21,18 +21,24 @@
 /// Serves what the configuration at `path` says until a signal ends it. An error is one line, and nothing
 /// listens then.
 pub fn run(path: &str) -> Result<(), String> {
+    run_with(path, Vec::new())
+}
+
+/// The same where the control feed is a group: further addresses of it, one of which tells at a time. The platform has one.
+pub fn run_with(path: &str, feeds: Vec<std::net::SocketAddr>) -> Result<(), String> {
     // Before the file is read: a signal to read it again must not end what has only just begun.
     let wanted = [Signal::Term, Signal::Int, Signal::Hup];
     let signals = Signals::new(wanted).map_err(|why| format!("no signals: {why}"))?;
     let start = config::read_file(path)?;
     let (log, _written_at_end) = log::open(&start.name, start.limits.log_lines);
     let executor = Rc::new(LocalExecutor::new());
-    async_io::block_on(executor.run(serve(start, path, signals, log, executor.clone())))
+    async_io::block_on(executor.run(serve(start, path, feeds, signals, log, executor.clone())))
 }
 
 async fn serve(
     start: Start,
     path: &str,
+    feeds: Vec<std::net::SocketAddr>,
     mut signals: Signals,
     log: Logger,
     executor: Rc<LocalExecutor<'static>>,
@@ -55,7 +61,14 @@
     executor.spawn(routing).detach();
     let place = feed::Place::new(feed);
     let (limits_of, place_of, last) = (limits.clone(), place.clone(), known_last);
-    let feed = feed::Feed { limits: limits_of, inbox, log: log.clone(), place: place_of, last };
+    let feed = feed::Feed {
+        limits: limits_of,
+        inbox,
+        log: log.clone(),
+        place: place_of,
+        last,
+        others: feeds.into(),
+    };
     executor.spawn(feed::follow(feed)).detach();
     let listening = executor.spawn(client::listen(clients.clone(), listener, executor.clone()));
     let sweeping = executor.spawn(client::sweep(clients.clone()));
--- a/crates/router/src/transport/feed.rs
+++ b/crates/router/src/transport/feed.rs
@@ -11,6 +11,7 @@
 use harestage_wire::feed::{self, Line};
 use slog::{Logger, info, warn};
 use std::cell::Cell;
+use std::collections::VecDeque;
 use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
 use std::time::Instant;
@@ -41,6 +42,17 @@
     pub place: Rc<Place>,
     /// The number of the last event that was applied.
     pub last: u64,
+    /// Further addresses of the feed, where it is told by a group: after a break the next one is tried.
+    pub others: VecDeque<SocketAddr>,
+}
+
+impl Feed {
+    /// The feed's own address, and those after it, take turns.
+    fn turn(&mut self) {
+        if let Some(next) = self.others.pop_front() {
+            self.others.push_back(self.place.address.replace(next));
+        }
+    }
 }
 
 /// Follows the feed for as long as it is polled, from one address to the next.
@@ -70,6 +82,7 @@
             warn!(feed.log, "feed down"; "why" => &why, "last" => feed.last);
         }
         broken = feed.last == before;
+        feed.turn();
         // What is told counts against the router soon after a break: only a feed that flaps is made to wait.
         Timer::after(feed.limits.feed_pause.saturating_sub(since.elapsed())).await;
     }
--- a/crates/segments/src/files.rs
+++ b/crates/segments/src/files.rs
@@ -2,6 +2,7 @@
 use std::fs::{File, OpenOptions};
 use std::io::{self, Read, Write};
 use std::path::{Path, PathBuf};
+use std::sync::OnceLock;
 
 /// Files of one folder. What is written may be lost until it is synced; a name that is made, changed or removed may
 /// come back until the folder is.
@@ -18,10 +19,23 @@
     fn sync_folder(&mut self) -> io::Result<()>;
 }
 
+static SYNCED_COPY: OnceLock<PathBuf> = OnceLock::new();
+
+/// For rigs that take the power away: from now on a folder that this process opens has a second one, which gets what each
+/// sync covers, so that after a kill the first can be laid anew from it. A file `disk-state` in it with `full` or
+/// `failing` makes all that writes fail. Nothing sets it in service.
+pub fn keep_synced_copy(folder: &Path) -> io::Result<()> {
+    std::fs::create_dir_all(folder)?;
+    let _ = SYNCED_COPY.set(folder.into());
+    Ok(())
+}
+
 /// A real folder. The file that was appended to last stays open.
 pub struct Folder {
     path: PathBuf,
     open: Option<(String, File)>,
+    /// A second folder that gets what each sync covers, and nothing else.
+    kept: Option<Mirror>,
     /// Held for as long as this lives, so that no second program writes here.
     _lock: File,
 }
@@ -35,7 +49,12 @@
             std::fs::TryLockError::WouldBlock => io::ErrorKind::WouldBlock.into(),
             std::fs::TryLockError::Error(why) => why,
         })?;
-        Ok(Folder { path: path.into(), open: None, _lock: lock })
+        let kept = SYNCED_COPY.get().map(|kept| Mirror { path: kept.clone(), renamed: Vec::new() });
+        Ok(Folder { path: path.into(), open: None, kept, _lock: lock })
+    }
+
+    fn fails(&self) -> io::Result<()> {
+        self.kept.as_ref().map_or(Ok(()), Mirror::fails)
     }
 
     fn file(&mut self, name: &str) -> io::Result<&mut File> {
@@ -62,27 +81,85 @@
         Ok(bytes)
     }
     fn create(&mut self, name: &str) -> io::Result<()> {
+        self.fails()?;
         OpenOptions::new().append(true).create(true).open(self.path.join(name)).map(drop)
     }
     fn append(&mut self, name: &str, bytes: &[u8]) -> io::Result<()> {
+        self.fails()?;
         self.file(name)?.write_all(bytes)
     }
     fn truncate(&mut self, name: &str, length: u64) -> io::Result<()> {
+        self.fails()?;
         self.open = None;
         OpenOptions::new().write(true).open(self.path.join(name))?.set_len(length)
     }
     fn sync(&mut self, name: &str) -> io::Result<()> {
-        self.file(name)?.sync_data()
+        self.fails()?;
+        self.file(name)?.sync_data()?;
+        self.kept.as_ref().map_or(Ok(()), |kept| kept.synced(&self.path, name))
     }
     fn rename(&mut self, from: &str, to: &str) -> io::Result<()> {
+        self.fails()?;
         self.open = None;
-        std::fs::rename(self.path.join(from), self.path.join(to))
+        std::fs::rename(self.path.join(from), self.path.join(to))?;
+        self.kept.iter_mut().for_each(|kept| kept.renamed.push((to.into(), from.into())));
+        Ok(())
     }
     fn remove(&mut self, name: &str) -> io::Result<()> {
+        self.fails()?;
         self.open = None;
         std::fs::remove_file(self.path.join(name))
     }
     fn sync_folder(&mut self) -> io::Result<()> {
-        File::open(&self.path)?.sync_all()
+        self.fails()?;
+        File::open(&self.path)?.sync_all()?;
+        self.kept.as_mut().map_or(Ok(()), |kept| kept.synced_names(&self.path))
+    }
+}
+
+/// What a power loss would leave of a folder. A file that was never synced is not there; a name that was changed or
+/// removed is still the old one until the folder is synced.
+struct Mirror {
+    path: PathBuf,
+    /// Files that were renamed since, by their new and old names.
+    renamed: Vec<(String, String)>,
+}
+
+impl Mirror {
+    fn fails(&self) -> io::Result<()> {
+        match std::fs::read_to_string(self.path.join("disk-state")) {
+            Ok(state) if state == "full" => Err(io::ErrorKind::StorageFull.into()),
+            Ok(_) => Err(io::Error::other("the disk fails")),
+            Err(_) => Ok(()),
+        }
+    }
+
+    fn synced(&self, from: &Path, name: &str) -> io::Result<()> {
+        // Under the name that the disk still knows it by.
+        let old = self.renamed.iter().rev().find(|(new, _)| new == name).map_or(name, |(_, old)| old);
+        std::fs::write(self.path.join(old), std::fs::read(from.join(name))?)
+    }
+
+    fn synced_names(&mut self, from: &Path) -> io::Result<()> {
+        for (new, old) in self.renamed.drain(..) {
+            match std::fs::rename(self.path.join(old), self.path.join(new)) {
+                Err(why) if why.kind() != io::ErrorKind::NotFound => return Err(why),
+                _ => {}
+            }
+        }
+        for entry in std::fs::read_dir(&self.path)? {
+            let name = entry?.file_name();
+            if name != "disk-state" && !from.join(&name).exists() {
+                std::fs::remove_file(self.path.join(&name))?;
+            }
+        }
+        // A file that was made and never synced has a name and no bytes.
+        for entry in std::fs::read_dir(from)? {
+            let name = entry?.file_name();
+            if name != "lock" && !self.path.join(&name).exists() {
+                File::create(self.path.join(&name))?;
+            }
+        }
+        Ok(())
     }
 }
--- a/crates/segments/src/lib.rs
+++ b/crates/segments/src/lib.rs
@@ -13,5 +13,5 @@
 mod files;
 mod log;
 
-pub use files::{Files, Folder};
+pub use files::{Files, Folder, keep_synced_copy};
 pub use log::{Kept, Log, LogError, Recovered};
--- a/crates/shape/src/form.rs
+++ b/crates/shape/src/form.rs
@@ -2,6 +2,7 @@
 //! not at all, and a complaint is one line that names file, key and value.
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
 use std::fmt;
 use std::path::Path;
 
@@ -17,6 +18,18 @@
     pub hubs: Vec<HubForm>,
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub branches: Vec<BranchForm>,
+    /// Links between sites that don't carry everything; absent: they do.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub links: Vec<LinkForm>,
+}
+
+/// What a link between two sites carries.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct LinkForm {
+    pub between: [String; 2],
+    /// Fills a second, both directions together.
+    pub fills: f64,
 }
 
 /// The one place that has everything.
@@ -71,12 +84,18 @@
 #[serde(deny_unknown_fields)]
 pub struct BranchForm {
     pub name: String,
+    /// Where it is, for the links that its fills go over; absent: nowhere in particular.
+    #[serde(default, skip_serializing_if = "String::is_empty")]
+    pub site: String,
     /// Fills a second that its caches ask for.
     pub load: f64,
     pub hubs: Vec<String>,
     /// Where the control service listens for this branch's routers, as their control feed; absent: nowhere.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub feed: Option<String>,
+    /// The same for a service that is a group: where each of its members listens, by the member's name.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub feeds: BTreeMap<String, String>,
     /// The caches that the feed names beside the hubs.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub caches: Vec<CacheForm>,
@@ -192,11 +211,22 @@
                 return Err((key("load"), format!("{} is not 0 or more", branch.load)));
             }
             branch.feed.iter().try_for_each(|feed| address(&key("feed"), feed))?;
+            for (member, feed) in &branch.feeds {
+                address(&key(&format!("feeds.{member}")), feed)?;
+            }
             for (m, cache) in branch.caches.iter().enumerate() {
                 name(&key(&format!("caches[{m}].name")), &cache.name)?;
                 address(&key(&format!("caches[{m}].address")), &cache.address)?;
             }
         }
+        for (n, link) in self.links.iter().enumerate() {
+            above_zero(&format!("links[{n}].fills"), link.fills)?;
+            for (m, site) in link.between.iter().enumerate() {
+                if !self.hubs.iter().any(|hub| hub.site == *site) {
+                    return Err((format!("links[{n}].between[{m}]"), format!("no hub is at site {site:?}")));
+                }
+            }
+        }
         Ok(())
     }
 }
--- a/crates/shape/src/lines.rs
+++ b/crates/shape/src/lines.rs
@@ -16,6 +16,8 @@
     Part(Part),
     /// The answer to the report of any other: the number of the newest version.
     Beat { term: u64, last: u64 },
+    /// This member of the service does not speak for it; the one that does is there, if that is known.
+    Elsewhere { serves: Option<String> },
 }
 
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -53,6 +55,10 @@
     Said(Said),
     /// Each line says one thing that is wrong.
     Refused(Vec<String>),
+    /// This member of the service does not speak for it; the one that does is there, if that is known.
+    Elsewhere {
+        serves: Option<String>,
+    },
 }
 
 /// The first line of a member.
--- a/crates/shape/src/tree.rs
+++ b/crates/shape/src/tree.rs
@@ -1,7 +1,7 @@
 //! A version of the shape: numbered, immutable, cheap to derive the next from, since all versions share what they
 //! have in common.
 use crate::check::{self, Complaint};
-use crate::form::{ArchiveForm, BranchForm, HubForm, ShapeForm};
+use crate::form::{ArchiveForm, BranchForm, HubForm, LinkForm, ShapeForm};
 use harestage::time::{Moment, Span};
 use imbl::OrdMap;
 use std::collections::{BTreeMap, VecDeque};
@@ -46,6 +46,7 @@
     names: OrdMap<Arc<str>, PlaceIx>,
     /// Hubs that fetch from the archive, by their indices.
     tops: Arc<[PlaceIx]>,
+    links: Arc<[LinkForm]>,
     next: u32,
 }
 
@@ -59,6 +60,7 @@
             ties: OrdMap::new(),
             names: OrdMap::new(),
             tops: Arc::from([]),
+            links: form.links.as_slice().into(),
             next: 0,
         };
         let mut wrong = Vec::new();
@@ -146,7 +148,7 @@
 
     /// This version with all places of `form` that it lacks, tied to nothing yet, and the figures of those it has.
     pub fn widened(&self, version: u64, form: &ShapeForm) -> Shape {
-        let mut wide = Shape { version, ..self.clone() };
+        let mut wide = Shape { version, links: form.links.as_slice().into(), ..self.clone() };
         let hubs = form.hubs.iter().cloned().map(|hub| Place::Hub(HubForm { up: Vec::new(), ..hub }));
         let branches = form.branches.iter().cloned();
         let branches = branches.map(|b| Place::Branch(BranchForm { hubs: Vec::new(), ..b }));
@@ -210,7 +212,8 @@
                 Place::Archive(_) => {}
             }
         }
-        ShapeForm { version: self.version, archive: self.archive().clone(), hubs, branches }
+        let links = self.links.to_vec();
+        ShapeForm { version: self.version, archive: self.archive().clone(), hubs, branches, links }
     }
 
     pub fn version(&self) -> u64 {
@@ -244,6 +247,16 @@
         self.places().filter_map(|(at, place)| place.hub().map(|hub| (at, hub)))
     }
 
+    /// Two sites, and the fills a second that the link between them carries.
+    pub fn links(&self) -> impl Iterator<Item = (&str, &str, f64)> {
+        self.links.iter().map(|link| (link.between[0].as_str(), link.between[1].as_str(), link.fills))
+    }
+
+    /// The sites that hubs are at, each once.
+    pub fn sites(&self) -> std::collections::BTreeSet<&str> {
+        self.hubs().map(|(_, hub)| hub.site.as_str()).filter(|site| !site.is_empty()).collect()
+    }
+
     pub fn ties(&self, at: PlaceIx) -> &[PlaceIx] {
         self.ties.get(&at).map_or(&[], |ties| ties)
     }
--- a/crates/shape/tests/common/mod.rs
+++ b/crates/shape/tests/common/mod.rs
@@ -25,7 +25,15 @@
 
 pub fn branch(name: &str, load: f64, hubs: &[&str]) -> BranchForm {
     let hubs = hubs.iter().map(|name| name.to_string()).collect();
-    BranchForm { name: name.into(), load, hubs, feed: None, caches: Vec::new() }
+    BranchForm {
+        name: name.into(),
+        site: String::new(),
+        load,
+        hubs,
+        feed: None,
+        feeds: Default::default(),
+        caches: Vec::new(),
+    }
 }
 
 pub fn shape(hubs: Vec<HubForm>, branches: Vec<BranchForm>) -> ShapeForm {
@@ -36,7 +44,7 @@
         stops_at: 2.5,
         stops_within_ms: 3_000,
     };
-    ShapeForm { version: 1, archive, hubs, branches }
+    ShapeForm { version: 1, archive, hubs, branches, links: Vec::new() }
 }
 
 /// Two hubs at the top that four branches share.
--- /dev/null
+++ b/crates/sites/src/budget.rs
@@ -0,0 +1,58 @@
+//! How many repeated attempts a process may add to what it is asked for. Each first attempt pays a part of a repeat in, and
+//! a repeat is made only where a whole one was paid. Tiers that each repeat three times would make twenty-seven of one;
+//! with a budget of a tenth at each, three tiers add a third at most, however much fails.
+use harestage::time::{Moment, Span};
+
+/// Repeats that a first attempt pays for.
+pub const SHARE: f64 = 0.1;
+/// Repeats a second that are always there, so that a quiet process can repeat at all.
+const LEAST: f64 = 1.0;
+/// What was paid in is forgotten after it: a quiet hour must not pay for a storm.
+const KEPT: Span = Span::millis(5_000);
+
+#[derive(Clone, Debug)]
+pub struct Budget {
+    share: f64,
+    /// Repeats that may be made now.
+    tokens: f64,
+    filled: Moment,
+    /// First attempts a second, lately.
+    rate: f64,
+    pub refused: u64,
+}
+
+impl Budget {
+    pub fn new(share: f64, now: Moment) -> Budget {
+        Budget { share, tokens: LEAST, filled: now, rate: 0.0, refused: 0 }
+    }
+
+    /// What may be saved up: the payments of a few seconds.
+    fn most(&self) -> f64 {
+        LEAST + self.rate * self.share * KEPT.seconds()
+    }
+
+    fn fill(&mut self, now: Moment) {
+        let passed = now.since(self.filled).seconds();
+        self.filled = now;
+        self.rate *= (-passed / KEPT.seconds()).exp();
+        self.tokens = (self.tokens + LEAST * passed).min(self.most());
+    }
+
+    /// A first attempt goes out.
+    pub fn first(&mut self, now: Moment) {
+        self.fill(now);
+        self.rate += 1.0 / KEPT.seconds();
+        self.tokens = (self.tokens + self.share).min(self.most());
+    }
+
+    /// Whether another attempt may go out.
+    pub fn lets(&mut self, now: Moment) -> bool {
+        self.fill(now);
+        if self.tokens < 1.0 {
+            self.refused += 1;
+            return false;
+        }
+        self.tokens -= 1.0;
+        true
+    }
+}
--- /dev/null
+++ b/crates/sites/src/ration.rs
@@ -0,0 +1,215 @@
+//! What is refused first where not all fits. Downloads are ordered by their benefit for each unit of what is scarce, first
+//! tries before second ones; the best are taken until the room is used up, and where the line falls within one rank, each
+//! branch gets a fair part of it. What is under way, and filings, are never asked for here: they pass.
+//!
+//! The line moves down at once when more is asked for, and up in small steps only, so that it does not flutter. Those who
+//! are refused are told when to come again, spread over the time in which there will be room for them, so that they don't
+//! come back in a wave.
+use harestage::ring::Ring;
+use harestage::time::{Moment, Span};
+use std::collections::BTreeMap;
+
+/// Ranks by benefit for a unit, each twice the one below it; and as many again for second tries, all below the first.
+const STEPS: usize = 24;
+const RANKS: usize = 2 * STEPS;
+/// Benefit for a unit at the lowest rank's top.
+const LEAST_WORTH: f64 = 1.0 / 4_096.0;
+/// Ranks by which the line rises at most in one beat: that much less is refused.
+const RISE: f64 = 0.2;
+/// After the line fell, it does not rise for as long.
+const RESTS: Span = Span::millis(500);
+/// The beat at which the line is laid.
+pub const BEAT: Span = Span::millis(100);
+/// Branches that are told apart at most; others share one part.
+const MOST_BRANCHES: usize = 1_024;
+/// Until those who are refused come again, at least and at most.
+const AGAIN: (Span, Span) = (Span::millis(400), Span::millis(10_000));
+/// Past the room by so much nothing is taken, whatever the line says: it is laid by what was asked for before.
+const OVERDRAFT: f64 = 1.15;
+
+/// A download that would like to be taken.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Want {
+    /// Benefit for each unit of what is scarce.
+    pub worth: f64,
+    /// Units that it takes.
+    pub takes: f64,
+    pub second_try: bool,
+    pub branch: u32,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Answer {
+    Taken,
+    /// Refused at once; harmless to repeat, and better not before this has passed.
+    ComeAgain(Span),
+}
+
+/// The line: everything above it is taken, `part` of its own rank, nothing below.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Line {
+    pub rank: usize,
+    pub part: f64,
+}
+
+impl Line {
+    const ALL: Line = Line { rank: 0, part: 1.0 };
+
+    /// As one number that grows with what is refused.
+    fn height(self) -> f64 {
+        self.rank as f64 + 1.0 - self.part
+    }
+
+    fn at(height: f64) -> Line {
+        let rank = (height.max(0.0).floor() as usize).min(RANKS - 1);
+        Line { rank, part: (rank as f64 + 1.0 - height).clamp(0.0, 1.0) }
+    }
+}
+
+pub struct Ration {
+    /// Units a second; none: there is room for all.
+    room: Option<f64>,
+    asked: Vec<Ring>,
+    taken: Ring,
+    refused: Ring,
+    line: Line,
+    fell: Moment,
+    /// What each branch asked for at the line's rank.
+    by_branch: BTreeMap<u32, Ring>,
+    /// Units a second that a branch may have at the line's rank.
+    level: f64,
+    next: Moment,
+}
+
+/// The rank of a download, higher is better.
+pub fn rank(want: &Want) -> usize {
+    let step = (want.worth.max(0.0) / LEAST_WORTH).max(1.0).log2().floor() as usize;
+    step.min(STEPS - 1) + if want.second_try { 0 } else { STEPS }
+}
+
+impl Ration {
+    pub fn new(now: Moment) -> Ration {
+        let ring = || Ring::new(Span::millis(250), 4);
+        Ration {
+            room: None,
+            asked: (0..RANKS).map(|_| ring()).collect(),
+            taken: ring(),
+            refused: ring(),
+            line: Line::ALL,
+            fell: Moment::default(),
+            by_branch: BTreeMap::new(),
+            level: f64::INFINITY,
+            next: now,
+        }
+    }
+
+    /// How many units a second there are; none lifts the line for good.
+    pub fn set_room(&mut self, room: Option<f64>) {
+        self.room = room.filter(|room| room.is_finite() && *room >= 0.0);
+    }
+
+    pub fn line(&self) -> Line {
+        self.line
+    }
+
+    /// Decides on a download. `chance` is drawn evenly from 0 to 1.
+    pub fn ask(&mut self, want: &Want, chance: f64, now: Moment) -> Answer {
+        let rank = rank(want);
+        self.asked[rank].add(now, want.takes);
+        if now >= self.next {
+            self.next = now + BEAT;
+            self.lay(now);
+        }
+        if rank == self.line.rank && self.room.is_some() {
+            self.note(want, now);
+        }
+        let takes = match self.room {
+            None => true,
+            Some(room) => self.above(want, rank, chance, now) && self.taken.sum(now) < room * OVERDRAFT,
+        };
+        if takes {
+            self.taken.add(now, want.takes);
+            return Answer::Taken;
+        }
+        self.refused.add(now, want.takes);
+        Answer::ComeAgain(self.again(chance, now))
+    }
+
+    fn above(&self, want: &Want, rank: usize, chance: f64, now: Moment) -> bool {
+        if rank != self.line.rank {
+            return rank > self.line.rank;
+        }
+        // Max-min fair: who asks for less than the level gets it all, the others get the level each.
+        let own = self.by_branch.get(&self.key(want.branch)).map_or(0.0, |ring| ring.sum(now));
+        let fair = if own > 0.0 { (self.level / own).min(1.0) } else { 1.0 };
+        chance < fair
+    }
+
+    fn key(&self, branch: u32) -> u32 {
+        let known = self.by_branch.contains_key(&branch) || self.by_branch.len() < MOST_BRANCHES;
+        if known { branch } else { u32::MAX }
+    }
+
+    fn note(&mut self, want: &Want, now: Moment) {
+        let key = self.key(want.branch);
+        let ring = self.by_branch.entry(key).or_insert_with(|| Ring::new(Span::millis(250), 4));
+        ring.add(now, want.takes);
+    }
+
+    /// Lays the line where what is above it fills the room.
+    fn lay(&mut self, now: Moment) {
+        let Some(room) = self.room else {
+            (self.line, self.level) = (Line::ALL, f64::INFINITY);
+            return self.by_branch.clear();
+        };
+        let (mut above, mut wanted) = (0.0, Line::ALL);
+        for rank in (0..RANKS).rev() {
+            let asked = self.asked[rank].sum(now);
+            if asked > 0.0 && above + asked > room {
+                wanted = Line { rank, part: ((room - above) / asked).clamp(0.0, 1.0) };
+                break;
+            }
+            above += asked;
+        }
+        let before = self.line;
+        if wanted.height() >= before.height() {
+            self.fell = if wanted.height() > before.height() { now } else { self.fell };
+            self.line = wanted;
+        } else if now.since(self.fell) >= RESTS {
+            self.line = Line::at((before.height() - self.rise(before, wanted)).max(wanted.height()));
+        }
+        if self.line.rank != before.rank {
+            self.by_branch.clear();
+        }
+        self.by_branch.retain(|_, ring| ring.sum(now) > 0.0);
+        self.level = self.fair_level(self.asked[self.line.rank].sum(now) * self.line.part, now);
+    }
+
+    /// Ranks that nobody asks at are passed over at once: there is nothing there that could flutter.
+    fn rise(&self, from: Line, to: Line) -> f64 {
+        let empty =
+            (to.rank..from.rank).rev().take_while(|rank| self.asked[*rank].peak_rate(self.next) <= 0.0);
+        RISE + empty.count() as f64
+    }
+
+    /// The level up to which everyone at the line's rank is served, so that all together get `units`.
+    fn fair_level(&self, units: f64, now: Moment) -> f64 {
+        let mut asks: Vec<f64> = self.by_branch.values().map(|ring| ring.sum(now)).collect();
+        asks.sort_by(f64::total_cmp);
+        let (mut left, mut heads) = (units, asks.len());
+        for ask in asks {
+            if ask * heads as f64 >= left {
+                return left / heads as f64;
+            }
+            (left, heads) = (left - ask, heads - 1);
+        }
+        f64::INFINITY
+    }
+
+    /// Spread over the time in which those who were refused within the last second can be served beside the others.
+    fn again(&self, chance: f64, now: Moment) -> Span {
+        let (refused, taken) = (self.refused.sum(now), self.taken.sum(now).max(1.0));
+        let over = AGAIN.0 * (1.0 + 4.0 * refused / taken);
+        AGAIN.0 + (over * chance).min(AGAIN.1)
+    }
+}
--- /dev/null
+++ b/crates/sites/src/sight.rs
@@ -0,0 +1,137 @@
+//! What one process sees of other sites. It asks somebody there at each of its beats, and counts what was answered.
+//!
+//! Silence is counted in questions without an answer, not in time: a process that was stopped for a minute and wakes up
+//! has asked nothing meanwhile, and so has seen no silence.
+use harestage::time::{Moment, Span};
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+
+/// A question that has waited for as long counts as unanswered.
+pub const ANSWERS_WITHIN: Span = Span::millis(300);
+/// Beats further apart than this: the process itself did not run, and what it counted before says nothing.
+const ASLEEP: Span = Span::millis(700);
+/// Of each new time in the usual one.
+const PACE_WEIGHT: f64 = 0.05;
+/// Answers that come within as much are as good as at once.
+const QUICK: Span = Span::millis(2);
+/// Questions to one site that are remembered.
+const MOST_OPEN: usize = 32;
+
+/// What a witness says of a site, in its report.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Sighting {
+    pub site: String,
+    /// Questions in a row that nobody there has answered.
+    pub unanswered: u32,
+    /// Whether anything was ever heard of it.
+    pub known: bool,
+    /// Time of the last answers against the usual one; 1 is usual.
+    pub slowness: f64,
+    /// The site itself says that it is going down in order.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub leaving: bool,
+    /// Somebody there says that it has just started, and holds nothing.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub fresh: bool,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Seen {
+    /// Questions that wait, by their numbers, with the moment at which they were asked.
+    open: BTreeMap<u64, Moment>,
+    unanswered: u32,
+    known: bool,
+    usual: Option<f64>,
+    recent: Option<f64>,
+    leaving: bool,
+    fresh: bool,
+}
+
+/// One process's eyes.
+#[derive(Clone, Debug, Default)]
+pub struct Sight {
+    sites: BTreeMap<String, Seen>,
+    last_beat: Option<Moment>,
+    number: u64,
+}
+
+impl Sight {
+    /// The sites to be looked at; those that are no longer named are forgotten.
+    pub fn look_at<'a>(&mut self, sites: impl Iterator<Item = &'a str>) {
+        let named: Vec<&str> = sites.collect();
+        self.sites.retain(|site, _| named.contains(&site.as_str()));
+        for site in named {
+            if !self.sites.contains_key(site) {
+                self.sites.insert(site.into(), Seen::default());
+            }
+        }
+    }
+
+    /// To be called at each beat, before questions go out.
+    pub fn beat(&mut self, now: Moment) {
+        let asleep = self.last_beat.is_some_and(|last| now.since(last) > ASLEEP);
+        self.last_beat = Some(now);
+        for seen in self.sites.values_mut() {
+            if asleep {
+                (seen.unanswered, seen.recent) = (0, None);
+                seen.open.clear();
+                continue;
+            }
+            let late = seen.open.extract_if(.., |_, asked| now.since(*asked) >= ANSWERS_WITHIN).count();
+            seen.unanswered = seen.unanswered.saturating_add(late as u32);
+        }
+    }
+
+    /// A question goes out to somebody at that site; its number comes back with the answer. None: it is not looked at.
+    pub fn asks(&mut self, site: &str, now: Moment) -> Option<u64> {
+        let seen = self.sites.get_mut(site)?;
+        self.number += 1;
+        seen.open.insert(self.number, now);
+        while seen.open.len() > MOST_OPEN {
+            seen.open.pop_first();
+        }
+        Some(self.number)
+    }
+
+    /// Somebody there has answered, in time or late.
+    pub fn answered(&mut self, site: &str, number: u64, leaving: bool, fresh: bool, now: Moment) {
+        let Some(seen) = self.sites.get_mut(site) else { return };
+        (seen.known, seen.unanswered, seen.leaving, seen.fresh) = (true, 0, leaving, fresh);
+        let Some(asked) = seen.open.remove(&number) else { return };
+        // What was asked before it is not owed any more: the site is there.
+        seen.open.retain(|_, at| *at > asked);
+        let took = now.since(asked).seconds();
+        seen.recent = Some(seen.recent.map_or(took, |recent| recent + (took - recent) * 0.3));
+        let usual = seen.usual.unwrap_or(took);
+        // A site that has become slow must not become usual so soon: it is learnt the slower, the slower it is.
+        let weight = PACE_WEIGHT * (usual.max(QUICK.seconds()) / took.max(QUICK.seconds())).min(1.0);
+        seen.usual = Some(usual + (took - usual) * weight);
+    }
+
+    /// Nobody there could be reached at all: as good as a question without an answer.
+    pub fn refused(&mut self, site: &str, number: u64) {
+        let Some(seen) = self.sites.get_mut(site) else { return };
+        if seen.open.remove(&number).is_some() {
+            seen.unanswered = seen.unanswered.saturating_add(1);
+        }
+    }
+
+    pub fn sightings(&self) -> Vec<Sighting> {
+        let sighting = |(site, seen): (&String, &Seen)| Sighting {
+            site: site.clone(),
+            unanswered: seen.unanswered,
+            known: seen.known,
+            slowness: seen.slowness(),
+            leaving: seen.leaving,
+            fresh: seen.fresh,
+        };
+        self.sites.iter().map(sighting).collect()
+    }
+}
+
+impl Seen {
+    fn slowness(&self) -> f64 {
+        let pair = self.recent.zip(self.usual);
+        pair.map_or(1.0, |(recent, usual)| recent.max(QUICK.seconds()) / usual.max(QUICK.seconds()))
+    }
+}
--- /dev/null
+++ b/crates/sites/src/watch.rs
@@ -0,0 +1,243 @@
+//! What many witnesses prove of a site together. A witness is a hub or a member of a service; it says how many questions
+//! in a row each other site has left without an answer.
+//!
+//! Nobody is declared lost by one witness, nor by witnesses of one site: a cut between two sites looks to each of them
+//! like the loss of the other. A site is lost when all witnesses whose word counts hear nothing of it, they are at two
+//! other sites at least, and at more than half of the other sites that there are. Whoever hears nobody at all has no word:
+//! it is cut off itself.
+use crate::sight::Sighting;
+use harestage::time::{Moment, Span};
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Questions in a row without an answer that are silence. With a question each 100 ms and [`crate::sight::ANSWERS_WITHIN`]
+/// for each, a site that died is silent to a witness after 600 to 700 ms.
+pub const SILENCE: u32 = 4;
+/// A witness that has not reported for as long says nothing any more.
+const STALE: Span = Span::millis(900);
+/// All this has to be seen for as long before it counts, so that a hiccup is none.
+const LASTS: Span = Span::millis(300);
+/// Times the usual time at which a site is slow.
+const SLOW: f64 = 4.0;
+/// A site that came back is held for as long, twice as long with each loss that is remembered.
+const HELD_FIRST: Span = Span::millis(2_000);
+const HELD_MOST: Span = Span::millis(120_000);
+/// A loss is forgotten after it.
+const REMEMBERED: Span = Span::millis(600_000);
+/// Witnesses that are listened to at most.
+const MOST_WITNESSES: usize = 4_096;
+
+/// How a site stands.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case", tag = "is")]
+pub enum View {
+    /// Nobody has said anything of it yet.
+    #[default]
+    Unknown,
+    Up,
+    /// Half of the sites that reach it find it so many times slower than usual.
+    Slow {
+        times: f64,
+    },
+    /// These sites do not reach it, others do.
+    CutFromSome {
+        by: Vec<String>,
+    },
+    /// Hubs of other sites reach it, and the services do not.
+    CutFromServices,
+    /// It goes down in order.
+    Leaving,
+    Lost,
+}
+
+/// Who reports.
+#[derive(Clone, Copy, PartialEq, Eq, Debug, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Kind {
+    Hub,
+    Service,
+}
+
+struct Witness {
+    site: String,
+    kind: Kind,
+    heard: Moment,
+    sightings: Vec<Sighting>,
+}
+
+impl Witness {
+    /// It hears somebody of another site than its own: it is not cut off itself.
+    fn hears_anyone(&self) -> bool {
+        self.sightings.iter().any(|s| s.site != self.site && s.known && s.unanswered < SILENCE)
+    }
+}
+
+#[derive(Clone, Debug, Default)]
+struct Site {
+    view: View,
+    /// What the evidence says now, and since when it has said that without a break.
+    says: View,
+    since: Moment,
+    /// Losses that are remembered.
+    losses: Vec<Moment>,
+    held_until: Moment,
+}
+
+/// A change of what is held of a site.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Change {
+    pub site: String,
+    pub from: View,
+    pub to: View,
+    /// How long the evidence had said so.
+    pub seen_for: Span,
+}
+
+/// All that is known of all sites.
+pub struct Watch {
+    sites: BTreeMap<String, Site>,
+    witnesses: BTreeMap<String, Witness>,
+}
+
+impl Watch {
+    pub fn new<'a>(sites: impl Iterator<Item = &'a str>, now: Moment) -> Watch {
+        let site = |name: &str| (name.to_string(), Site { since: now, ..Site::default() });
+        Watch { sites: sites.map(site).collect(), witnesses: BTreeMap::new() }
+    }
+
+    /// The sites of a new version. What is known of those that stay, stays.
+    pub fn set_sites<'a>(&mut self, sites: impl Iterator<Item = &'a str>, now: Moment) {
+        let named: BTreeSet<&str> = sites.collect();
+        self.sites.retain(|name, _| named.contains(name.as_str()));
+        for name in named {
+            if !self.sites.contains_key(name) {
+                self.sites.insert(name.into(), Site { since: now, ..Site::default() });
+            }
+        }
+    }
+
+    /// A witness has reported.
+    pub fn hear(&mut self, name: &str, site: &str, kind: Kind, sightings: Vec<Sighting>, now: Moment) {
+        if self.witnesses.len() >= MOST_WITNESSES && !self.witnesses.contains_key(name) {
+            return;
+        }
+        let site = site.to_string();
+        self.witnesses.insert(name.into(), Witness { site, kind, heard: now, sightings });
+    }
+
+    /// To be called some times a second; what has changed comes back.
+    pub fn beat(&mut self, now: Moment) -> Vec<Change> {
+        self.witnesses.retain(|_, witness| now.since(witness.heard) < STALE);
+        let names: Vec<String> = self.sites.keys().cloned().collect();
+        let mut changes = Vec::new();
+        for name in names {
+            let says = self.evidence(&name);
+            let Some(site) = self.sites.get_mut(&name) else { continue };
+            if !same(&says, &site.says) {
+                site.since = now;
+            }
+            site.says = says;
+            changes.extend(site.settle(&name, now));
+        }
+        changes
+    }
+
+    /// What the witnesses say of a site at this moment.
+    fn evidence(&self, of: &str) -> View {
+        let others: BTreeSet<&str> = self.sites.keys().map(String::as_str).filter(|s| *s != of).collect();
+        let (mut reach, mut miss) = (BTreeMap::<&str, u32>::new(), BTreeMap::<&str, u32>::new());
+        let (mut hubs_reach, mut services_reach, mut services) = (false, false, false);
+        let (mut slowness, mut leaving) = (BTreeMap::<&str, f64>::new(), false);
+        for witness in self.witnesses.values().filter(|w| w.site != of && others.contains(w.site.as_str())) {
+            let Some(seen) = witness.sightings.iter().find(|s| s.site == of) else { continue };
+            let reaches = seen.unanswered < SILENCE && seen.known;
+            services |= witness.kind == Kind::Service;
+            if reaches {
+                *reach.entry(&witness.site).or_default() += 1;
+                match witness.kind {
+                    Kind::Hub => hubs_reach = true,
+                    Kind::Service => services_reach = true,
+                }
+                leaving |= seen.leaving;
+                let least = slowness.entry(&witness.site).or_insert(f64::INFINITY);
+                *least = least.min(seen.slowness);
+            } else if seen.unanswered >= SILENCE && (witness.hears_anyone() || self.only_two()) {
+                *miss.entry(&witness.site).or_default() += 1;
+            }
+        }
+        if reach.is_empty() {
+            let witnesses: u32 = miss.values().sum();
+            let enough = miss.len() >= 2 && miss.len() * 2 > others.len() && witnesses >= 2;
+            return if enough { View::Lost } else { View::Unknown };
+        }
+        if leaving {
+            return View::Leaving;
+        }
+        let by: Vec<String> =
+            miss.keys().filter(|site| !reach.contains_key(*site)).map(|s| s.to_string()).collect();
+        if !by.is_empty() {
+            return View::CutFromSome { by };
+        }
+        if services && hubs_reach && !services_reach {
+            return View::CutFromServices;
+        }
+        let mut times: Vec<f64> = slowness.into_values().collect();
+        times.sort_by(f64::total_cmp);
+        let middle = times[times.len() / 2];
+        if middle >= SLOW { View::Slow { times: middle } } else { View::Up }
+    }
+
+    /// With two sites a cut and a loss can't be told apart: staff may say what it is.
+    fn only_two(&self) -> bool {
+        self.sites.len() <= 2
+    }
+
+    pub fn view(&self, site: &str) -> &View {
+        self.sites.get(site).map_or(&View::Unknown, |site| &site.view)
+    }
+
+    /// Whether a site that is heard again may be used again: it has to stay for longer with each loss.
+    pub fn is_held(&self, site: &str, now: Moment) -> bool {
+        self.sites.get(site).is_some_and(|site| site.view == View::Lost || now < site.held_until)
+    }
+
+    /// Losses that are remembered.
+    pub fn losses(&self, site: &str) -> usize {
+        self.sites.get(site).map_or(0, |site| site.losses.len())
+    }
+
+    pub fn sites(&self) -> impl Iterator<Item = &str> {
+        self.sites.keys().map(String::as_str)
+    }
+
+    /// Witnesses that have a word now, by their sites.
+    pub fn witnesses(&self) -> BTreeMap<&str, usize> {
+        let mut by_site = BTreeMap::new();
+        self.witnesses.values().for_each(|w| *by_site.entry(w.site.as_str()).or_insert(0) += 1);
+        by_site
+    }
+}
+
+impl Site {
+    fn settle(&mut self, name: &str, now: Moment) -> Option<Change> {
+        self.losses.retain(|at| now.since(*at) < REMEMBERED);
+        let seen_for = now.since(self.since);
+        // Silence of the witnesses proves nothing: what was held of the site stays.
+        if self.says == View::Unknown || self.says == self.view || seen_for < LASTS {
+            return None;
+        }
+        if self.says == View::Lost {
+            self.losses.push(now);
+        } else if self.view == View::Lost {
+            let longer = 2f64.powi(self.losses.len().saturating_sub(1).min(16) as i32);
+            self.held_until = now + (HELD_FIRST * longer).min(HELD_MOST);
+        }
+        let from = std::mem::replace(&mut self.view, self.says.clone());
+        Some(Change { site: name.into(), from, to: self.view.clone(), seen_for })
+    }
+}
+
+/// Of one kind: how slow, and cut off from whom, may change without a break.
+fn same(a: &View, b: &View) -> bool {
+    std::mem::discriminant(a) == std::mem::discriminant(b)
+}
--- a/crates/sockets/src/clock.rs
+++ b/crates/sockets/src/clock.rs
@@ -1,8 +1,17 @@
 //! A program's clock: Unix time as it was at the start, carried on by the monotonic clock, so that a
 //! `Moment` never jumps and the protocol's Unix milliseconds need no more than a factor.
 use harestage::time::Moment;
+use std::sync::atomic::{AtomicI64, Ordering};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
+/// How far this process is made to believe that the wall clock stands elsewhere, in milliseconds.
+static OFF_MS: AtomicI64 = AtomicI64::new(0);
+
+/// For rigs: clocks that start from now on are off by as much. Nothing sets it in service.
+pub fn set_off(ms: i64) {
+    OFF_MS.store(ms, Ordering::Relaxed);
+}
+
 #[derive(Clone, Copy, Debug)]
 pub struct Clock {
     started: Instant,
@@ -12,7 +21,8 @@
 impl Clock {
     pub fn start() -> Clock {
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        Clock { started: Instant::now(), unix_micros: unix.as_micros() as u64 }
+        let off = OFF_MS.load(Ordering::Relaxed).saturating_mul(1_000);
+        Clock { started: Instant::now(), unix_micros: (unix.as_micros() as u64).saturating_add_signed(off) }
     }
 
     pub fn now(&self) -> Moment {
--- a/crates/sockets/src/lib.rs
+++ b/crates/sockets/src/lib.rs
@@ -2,6 +2,7 @@
 //! and packets are written whole, several with one call to the system.
 pub mod accept;
 pub mod clock;
+pub mod leader;
 pub mod lines;
 
 use async_executor::{LocalExecutor, Task};
--- a/crates/standins/src/archive.rs
+++ b/crates/standins/src/archive.rs
@@ -43,6 +43,8 @@
     fetches: Vec<(Instant, u64)>,
     /// How often each object was changed.
     changes: HashMap<u64, u64>,
+    /// How often each filing ran.
+    filings: HashMap<u64, u32>,
     stopped_until: Option<Instant>,
     stops: usize,
 }
@@ -74,6 +76,9 @@
             let now = Instant::now();
             let object = asked.object.number();
             seen.fetches.push((now, object));
+            if !asked.body.is_empty() {
+                *seen.filings.entry(object).or_default() += 1;
+            }
             let window = Duration::from_millis(script.stops_within_ms);
             let lately = seen.fetches.iter().rev().take_while(|(at, _)| now - *at < window).count() as f64;
             let load = lately / window.as_secs_f64() / script.capacity;
@@ -108,6 +113,12 @@
         self.seen.lock().expect("no holder panics").fetches.len()
     }
 
+    /// Filings that ran, and those of them that ran more than once.
+    pub fn filings(&self) -> (usize, usize) {
+        let seen = self.seen.lock().expect("no holder panics");
+        (seen.filings.len(), seen.filings.values().filter(|times| **times > 1).count())
+    }
+
     /// The most that any one object was fetched since then, and how many were fetched more than once.
     pub fn most_of_one(&self, since: Instant) -> (usize, usize) {
         let mut by_object: HashMap<u64, usize> = HashMap::new();
--- a/crates/standins/src/edge.rs
+++ b/crates/standins/src/edge.rs
@@ -50,14 +50,14 @@
         let held = self.store.lock().expect("no holder panics").get(&key).cloned();
         let given =
             |word, remark, copy, body| Given { id: asked.id, word, remark, first_ms: 0.0, copy, body };
-        if let Some((copy, body)) = held {
+        if let Some((copy, body)) = held.filter(|_| asked.body.is_empty()) {
             return given(Word::Good, Remark::Hit, Some(copy), body);
         }
         let source = asked.source.as_ref().map(|name| String::from_utf8_lossy(name).into_owned());
         let Some(source) = source else { return given(Word::Lacks, Remark::Nothing, None, Bytes::new()) };
         match self.fill(&asked, &source) {
             Some((copy, body, remark)) => {
-                if asked.rank > 0 {
+                if asked.rank > 0 && asked.body.is_empty() {
                     self.store.lock().expect("no holder panics").insert(key, (copy.clone(), body.clone()));
                 }
                 given(Word::Good, remark, Some(copy), body)
@@ -77,6 +77,7 @@
             no_copy: asked.no_copy,
             only_held: asked.only_held,
             oldest_ms: asked.oldest_ms,
+            body: asked.body.clone(),
             ..talk::pull(id, &content, asked.object.number(), asked.waits_ms)
         };
         let reply = Caller::to(address).ok()?.ask(&request, Duration::from_millis(asked.waits_ms))?;
--- a/crates/standins/src/script.rs
+++ b/crates/standins/src/script.rs
@@ -1,8 +1,11 @@
 //! Stand-ins by a script in JSON: which there are, and what happens to their links when.
-use crate::{Archive, ArchiveScript, Edge, Fault, Link};
+use crate::{Archive, ArchiveScript, CrowdPlace, Edge, Fault, Link, crowd, say};
 use serde::Deserialize;
+use serde_json::json;
 use std::collections::HashMap;
 use std::net::{SocketAddr, TcpListener};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
 #[derive(Clone, Debug, Default, Deserialize)]
@@ -11,6 +14,7 @@
     pub archives: Vec<ArchivePlace>,
     pub edges: Vec<EdgePlace>,
     pub links: Vec<LinkPlace>,
+    pub crowds: Vec<CrowdPlace>,
     /// How long it all lasts; absent: ten minutes.
     pub lasts_ms: Option<u64>,
 }
@@ -71,8 +75,8 @@
         serde_json::from_slice(text).map_err(ScriptError::Malformed)
     }
 
-    /// Plays it to its end.
-    pub fn play(&self) -> Result<(), ScriptError> {
+    /// Plays it to its end, or until `stop`.
+    pub fn play(&self, stop: &Arc<AtomicBool>) -> Result<(), ScriptError> {
         let archives = self.archives.iter().map(|place| Ok(Archive::on(bind(place.listen)?, place.behaves)));
         let archives: Vec<Archive> = archives.collect::<Result<_, ScriptError>>()?;
         for place in &self.edges {
@@ -85,24 +89,45 @@
             due.extend(place.faults.iter().map(|fault| (fault.at_ms, link.clone(), fault.fault)));
         }
         due.sort_by_key(|(at, _, _)| *at);
+        let crowds = self.crowds.iter().cloned().map(|place| {
+            let stop = stop.clone();
+            std::thread::spawn(move || crowd::play(place, &stop))
+        });
+        let crowds: Vec<_> = crowds.collect();
+        say("ready", json!({}));
         let (begun, lasts) = (Instant::now(), Duration::from_millis(self.lasts_ms.unwrap_or(600_000)));
-        for (at, link, fault) in due {
-            std::thread::sleep(Duration::from_millis(at).saturating_sub(begun.elapsed()));
-            link.set(fault);
+        let mut told = vec![0; archives.len()];
+        while begun.elapsed() < lasts && !stop.load(Ordering::Relaxed) {
+            while due.first().is_some_and(|(at, _, _)| Duration::from_millis(*at) <= begun.elapsed()) {
+                let (_, link, fault) = due.remove(0);
+                link.set(fault);
+            }
+            archives.iter().zip(&mut told).for_each(|(archive, told)| tell(archive, told));
+            std::thread::sleep(TELLS_EVERY);
         }
-        std::thread::sleep(lasts.saturating_sub(begun.elapsed()));
-        for archive in archives {
-            eprintln!(
-                "archive {}: {} fetches, stopped {} times",
-                archive.address,
-                archive.fetches(),
-                archive.stops()
-            );
+        stop.store(true, Ordering::Relaxed);
+        crowds.into_iter().for_each(|crowd| drop(crowd.join()));
+        for (archive, told) in archives.iter().zip(&mut told) {
+            tell(archive, told);
+            let (ran, doubled) = archive.filings();
+            let fields = json!({"fetches": archive.fetches(), "stops": archive.stops(),
+                "peak_share": archive.peak_share(begun), "filings": ran, "filings_doubled": doubled});
+            say("archive ended", fields);
         }
         Ok(())
     }
 }
 
+/// How often an archive says what it was asked for.
+const TELLS_EVERY: Duration = Duration::from_millis(250);
+
+fn tell(archive: &Archive, told: &mut usize) {
+    let fetches = archive.fetches();
+    let (now, stops) = (fetches - *told, archive.stops());
+    *told = fetches;
+    say("archive", json!({"fetches": now, "stops": stops}));
+}
+
 fn bind(address: SocketAddr) -> Result<TcpListener, ScriptError> {
     if !address.ip().is_loopback() {
         return Err(ScriptError::NotLoopback(address));
--- a/crates/wire/src/client.rs
+++ b/crates/wire/src/client.rs
@@ -135,3 +135,44 @@
     let items = [tag.as_bytes(), word.as_bytes(), fields.as_bytes()];
     Packet { head: resp::head(&items, body.len()), body }
 }
+
+/// A download as a client sends it.
+pub fn write_wish(tag: u64, wish: &Wish) -> Packet {
+    let held = wish.held.as_ref().and_then(|held| std::str::from_utf8(held).ok());
+    let fields = Fields::default()
+        .with("i", wish.id.as_str())
+        .with("d", wish.waits_ms)
+        .with_some("r", wish.repeat.then_some(1))
+        .with("o", wish.object.as_str())
+        .with("chunk", wish.part)
+        .with("tag", wish.group)
+        .with_some("known", held)
+        .or("");
+    let tag = tag.to_string();
+    let items = [b"ASK", tag.as_bytes(), &wish.content, fields.as_bytes()];
+    Packet { head: resp::head(&items, wish.body.len()), body: wish.body.clone() }
+}
+
+/// A question whether the router is ready.
+pub fn write_status(tag: u64) -> Packet {
+    let tag = tag.to_string();
+    Packet { head: resp::head(&[b"STATUS", tag.as_bytes()], 0), body: Bytes::new() }
+}
+
+/// An answer as a client reads it, with the tag that it is for. None: it can't be read.
+pub fn read_answer(items: &[Bytes]) -> Option<(u64, ToClient)> {
+    let [tag, word, list, body] = items else { return None };
+    let field = |name: &[u8]| fields::read(list).find(|(n, _)| *n == name).map(|(_, value)| value);
+    let answer = match word.as_ref() {
+        b"ACK" if field(b"valid").is_some_and(|valid| valid.as_ref() == b"1") => ToClient::StillGood,
+        b"ACK" => ToClient::Fulfilled { body: body.clone() },
+        b"NAK" => {
+            let retry_after_ms = field(b"w").as_ref().and_then(fields::whole).unwrap_or(0);
+            ToClient::Throttled { retry_after_ms }
+        }
+        b"GREEN" => ToClient::Ready,
+        b"RED" => ToClient::NotReady,
+        _ => ToClient::Abandoned,
+    };
+    Some((fields::whole(tag)?, answer))
+}
--- a/deploy/first/run.sh
+++ b/deploy/first/run.sh
@@ -12,7 +12,7 @@
     rm -rf "$scratch"
 }
 trap finish EXIT
-launch() { "$@" 2>>"$scratch/log" & started+=($!); }
+launch() { "$@" >>"$scratch/log" 2>&1 & started+=($!); }
 launch $bin/harestage-standin deploy/first/standins.json
 launch $bin/harestage control --listen 127.0.0.1:9100 --journal "$scratch/journal" --first deploy/first/shape.json
 for hub in a b c; do launch $bin/harestage hub deploy/first/hub-$hub.json; done
