--- a/crates/cli/src/group.rs
+++ b/crates/cli/src/group.rs
@@ -186,25 +186,12 @@
     Ok(())
 }
 
-/// Asks one member after another until one speaks for the group.
+/// Asks whoever speaks for the group.
 fn change(services: &[SocketAddr], call: &harestage_seats::Call) -> Result<(), Failure> {
-    let (mut due, mut tried, mut why) =
-        (services.to_vec(), Vec::new(), String::from("nobody speaks for the group"));
-    while let Some(at) = due.first().copied() {
-        due.remove(0);
-        if tried.contains(&at) {
-            continue;
-        }
-        tried.push(at);
-        match ask(at, call) {
-            Ok(Answer::GroupChanging) => return Ok(()),
-            Ok(Answer::Refused(why)) => return Err(Failure::Refused(why)),
-            Ok(Answer::Elsewhere(serves)) => {
-                due.splice(0..0, serves.and_then(|text| text.parse().ok()));
-            }
-            Ok(other) => why = format!("{at}: an unexpected answer: {other:?}"),
-            Err(Failure::Away(away) | Failure::Refused(away)) => why = away,
-        }
+    let answer = Call::find("service", services, call).and_then(|mut call| call.next::<Answer>());
+    match answer.map_err(Failure::Away)? {
+        Answer::GroupChanging => Ok(()),
+        Answer::Refused(why) => Err(Failure::Refused(why)),
+        other => Err(Failure::Away(format!("an unexpected answer: {other:?}"))),
     }
-    Err(Failure::Away(why))
 }
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -6,6 +6,7 @@
 mod log;
 mod purge;
 mod shape;
+mod site;
 
 use clap::{Parser, Subcommand};
 use harestage_control::serve::Keeper;
@@ -97,6 +98,11 @@
     /// Ends what a rig has started once the rig is gone.
     #[command(hide = true)]
     Mind,
+    /// How the sites stand, what the loss of one would do, and the way out and back.
+    Site {
+        #[command(subcommand)]
+        what: site::Site,
+    },
     /// Print the JSON schema of a file.
     Schema {
         #[arg(value_enum)]
@@ -136,6 +142,7 @@
         What::Purge { what } => return purge::run(what),
         What::Router { file, feeds } => harestage_router::program::run_with(&file, feeds),
         What::Shape { what } => return shape::run(what),
+        What::Site { what } => return site::run(what),
         What::Drill(drill) => return drill::run(&drill),
         What::Standin { file } => standin(&file),
         What::Mind => {
--- a/crates/cli/src/purge.rs
+++ b/crates/cli/src/purge.rs
@@ -98,9 +98,9 @@
 
 #[derive(Args)]
 pub struct Service {
-    /// Address and port of the service of purges.
+    /// Address and port of the service of purges; of each member, where it is a group.
     #[arg(long, default_value = "127.0.0.1:9150")]
-    purges: SocketAddr,
+    purges: Vec<SocketAddr>,
 }
 
 enum Failure {
@@ -133,7 +133,7 @@
 }
 
 fn call(service: &Service, call: &Call) -> Result<Answer, Failure> {
-    let mut call = ask::Call::begin("service of purges", service.purges, call).map_err(Failure::Away)?;
+    let mut call = ask::Call::find("service of purges", &service.purges, call).map_err(Failure::Away)?;
     match call.next().map_err(Failure::Away)? {
         Answer::Refused(why) => Err(Failure::Refused(why)),
         answer => Ok(answer),
--- a/crates/cli/src/shape.rs
+++ b/crates/cli/src/shape.rs
@@ -21,6 +21,9 @@
     /// Check a shape file; complaints go to standard error, a line each.
     Check {
         file: PathBuf,
+        /// Say also what the loss of each site, and of each pair of them, would do.
+        #[arg(long, value_name = "WHICH")]
+        lose: Option<Lose>,
         #[arg(long)]
         json: bool,
     },
@@ -74,15 +77,24 @@
     },
 }
 
+/// Which losses are gone through.
+#[derive(Clone, Copy, PartialEq, clap::ValueEnum)]
+pub enum Lose {
+    /// Each site, and each pair of them.
+    Each,
+    /// Each site.
+    One,
+}
+
 #[derive(clap::Args)]
 pub struct Service {
-    /// Address and port of the control service.
+    /// Address and port of the control service; of each member, where it is a group.
     #[arg(long, default_value = "127.0.0.1:9100")]
-    control: SocketAddr,
+    pub control: Vec<SocketAddr>,
 }
 
 /// What ends a command before its end.
-enum Failure {
+pub enum Failure {
     Refused(String),
     Away(String),
     Unfinished(String),
@@ -90,7 +102,8 @@
 
 pub fn run(what: Shape) -> ExitCode {
     let told = match what {
-        Shape::Check { file, json } => check_file(&file, json),
+        Shape::Check { file, lose: None, json } => check_file(&file, json),
+        Shape::Check { file, lose: Some(which), json } => crate::site::check_losses(&file, which, json),
         Shape::Diff { before, after, json } => diff(&before, &after, json),
         Shape::Plan { file, from, service, json, svg } => show_plan(&file, from, &service, json, svg),
         Shape::Apply { file, service, expect, by, json } => apply(&file, &service, expect, by, json),
@@ -112,14 +125,14 @@
 }
 
 /// Reads a shape that holds.
-fn take(file: &Path) -> Result<tree::Shape, Failure> {
+pub fn take(file: &Path) -> Result<tree::Shape, Failure> {
     tree::take(&read(file)?).map_err(|complaints| {
         let lines: Vec<_> = complaints.iter().map(|c| format!("{}: {c}", file.display())).collect();
         Failure::Refused(lines.join("\n"))
     })
 }
 
-fn print_json(json: serde_json::Value) {
+pub fn print_json(json: serde_json::Value) {
     println!("{json:#}");
 }
 
@@ -219,7 +232,7 @@
 }
 
 fn call(service: &Service, call: &Call) -> Result<ask::Call, Failure> {
-    ask::Call::begin("control service", service.control, call).map_err(Failure::Away)
+    ask::Call::find("control service", &service.control, call).map_err(Failure::Away)
 }
 
 fn apply(file: &Path, service: &Service, expect: Option<u64>, by: String, json: bool) -> Result<(), Failure> {
@@ -271,6 +284,10 @@
         Said::Held { step, of, why } => format!("after step {step} of {of}: {why}"),
         Said::Ended { complete: true, version } => format!("complete at version {version}"),
         Said::Ended { complete: false, version } => format!("given up at version {version}"),
+        Said::Site { site, is, why } => {
+            format!("site {site} is {} now: {why}", harestage_sites::standing::word(is))
+        }
+        Said::Seen { site, view, .. } => format!("site {site} is held to be {view}"),
         Said::Loop { hub, object, path, waited_ms, before } => {
             let path = path.join(" -> ");
             format!(
--- a/crates/control/src/journal.rs
+++ b/crates/control/src/journal.rs
@@ -13,14 +13,14 @@
     data.iter().enumerate().map(read).collect()
 }
 
-/// What of a long journal has to be kept: from its last whole shape on.
-pub fn shortened(mut data: Vec<Vec<u8>>) -> Vec<Vec<u8>> {
-    let is_shape = |bytes: &Vec<u8>| {
-        serde_json::from_slice::<Record>(bytes).is_ok_and(|record| matches!(record.entry, Entry::Shape(_)))
-    };
-    let last = data.iter().rposition(is_shape).unwrap_or(0);
-    data.drain(..last);
-    data
+/// What of a long journal has to be kept: from its last whole shape on, and how the sites stand if nothing after that
+/// says it.
+pub fn shortened(data: Vec<Vec<u8>>) -> Vec<Vec<u8>> {
+    let entry = |bytes: &Vec<u8>| serde_json::from_slice::<Record>(bytes).ok().map(|record| record.entry);
+    let shape = data.iter().rposition(|bytes| matches!(entry(bytes), Some(Entry::Shape(_)))).unwrap_or(0);
+    let sites = data.iter().rposition(|bytes| matches!(entry(bytes), Some(Entry::Sites(_))));
+    let before = sites.filter(|sites| *sites < shape).map(|sites| data[sites].clone());
+    before.into_iter().chain(data[shape..].iter().cloned()).collect()
 }
 
 /// The journal of a service that was not a group yet: a list of records as a snapshot, then records.
--- a/crates/control/src/serve.rs
+++ b/crates/control/src/serve.rs
@@ -8,11 +8,12 @@
 use event_listener::Event;
 use futures_lite::future::or;
 use harestage_seats::{Council, CouncilStart, News};
-use harestage_shape::control::{Control, Effect, Said};
+use harestage_shape::control::{Control, Effect, Said, Standing};
 use harestage_shape::form::ShapeForm;
 use harestage_shape::lines::{self, Answer, Call, FromMember, ToMember};
 use harestage_shape::plan;
 use harestage_shape::tree::Shape;
+use harestage_sites::direct::{self, Director};
 use harestage_sockets::accept::{Open, accept};
 use harestage_sockets::clock::Clock;
 use harestage_sockets::lines::{Lines, within, write_text};
@@ -42,7 +43,7 @@
 struct Service {
     council: Rc<Council>,
     /// None: this member does not lead.
-    control: RefCell<Option<Control>>,
+    director: RefCell<Option<Director>>,
     /// The shape to begin with, where nothing was agreed on yet.
     first: Option<ShapeForm>,
     /// What waits for the group to agree on the record at its head.
@@ -52,6 +53,8 @@
     clock: Clock,
     log: Logger,
     name: String,
+    /// Where this member is, as a witness of other sites.
+    site: String,
     /// What was said lately, with its number.
     said: RefCell<VecDeque<(u64, Said)>>,
     numbered: Cell<u64>,
@@ -103,13 +106,14 @@
             .map_err(|why| format!("key listen: {listen} can't be listened on: {why}"))?;
         let service = Service {
             council,
-            control: RefCell::new(None),
+            director: RefCell::new(None),
             first: first.cloned(),
             waiting: RefCell::default(),
             told: Cell::new(0),
             clock,
             log,
             name: start.name.clone(),
+            site: start.site(),
             said: RefCell::default(),
             numbered: Cell::new(0),
             open: Open::new(MOST_CONNECTIONS),
@@ -170,14 +174,15 @@
     /// Runs the state machine from what was agreed on.
     fn take_up(&self) {
         let opened = journal::records(&self.council.data()).and_then(|records| {
-            Control::open(&records, self.first.as_ref(), self.clock.now()).map_err(|why| why.to_string())
+            Director::open(&records, self.first.as_ref(), self.clock.now()).map_err(|why| why.to_string())
         });
         match opened {
-            Ok((control, effects)) => {
+            Ok((director, effects)) => {
+                let control = director.control();
                 info!(self.log, "takes up the service"; "term" => control.term(),
                     "version" => control.shape().version());
                 self.lay_down();
-                *self.control.borrow_mut() = Some(control);
+                *self.director.borrow_mut() = Some(director);
                 self.carry_out(effects);
             }
             Err(why) => error!(self.log, "service not taken up"; "why" => why),
@@ -185,7 +190,7 @@
     }
 
     fn lay_down(&self) {
-        *self.control.borrow_mut() = None;
+        *self.director.borrow_mut() = None;
         self.waiting.borrow_mut().clear();
         self.told.set(0);
         self.news.notify(usize::MAX);
@@ -231,6 +236,9 @@
                 self.told.set(self.told.get().max(version));
             }
             Effect::Say(said) => {
+                if let Said::Site { site, is, why } = &said {
+                    info!(self.log, "site"; "site" => site, "is" => standing(is), "why" => why);
+                }
                 info!(self.log, "change"; "said" => serde_json::to_string(&said).unwrap_or_default());
                 self.numbered.set(self.numbered.get() + 1);
                 let mut all = self.said.borrow_mut();
@@ -245,13 +253,13 @@
 
     /// Whether this member may tell anyone anything now.
     fn speaks(&self) -> bool {
-        self.council.may_speak() && self.control.borrow().is_some()
+        self.council.may_speak() && self.director.borrow().is_some()
     }
 
     /// Looks at the state, if it is this member's to look at.
-    fn with<T>(&self, look: impl FnOnce(&mut Control) -> T) -> Option<T> {
+    fn with<T>(&self, look: impl FnOnce(&mut Director) -> T) -> Option<T> {
         self.council.may_speak().then_some(())?;
-        self.control.borrow_mut().as_mut().map(look)
+        self.director.borrow_mut().as_mut().map(look)
     }
 
     async fn until_news(&self, at_most: Duration) {
@@ -263,11 +271,18 @@
     }
 }
 
+/// As the journal words it.
+fn standing(is: &Standing) -> String {
+    let word = serde_json::to_value(is).ok();
+    word.and_then(|word| word.as_str().map(str::to_string)).unwrap_or_default()
+}
+
 async fn turns(service: &Service) {
     while !service.council.is_broken() {
         Timer::after(BEAT).await;
         let now = service.clock.now();
-        let effects = service.with(|control| control.beat(now)).unwrap_or_default();
+        let effects =
+            service.with(|director| director.beat(&service.name, &service.site, now)).unwrap_or_default();
         if !effects.is_empty() {
             service.carry_out(effects);
         }
@@ -312,6 +327,10 @@
         let answer = service.council.answer(&call);
         return write(stream, &lines::line(&answer)).await.err().unwrap_or_default();
     }
+    if let Ok(call) = serde_json::from_slice::<direct::Call>(&line) {
+        let answer = of_sites(service, call);
+        return write(stream, &lines::line(&answer)).await.err().unwrap_or_default();
+    }
     match serde_json::from_slice(&line) {
         Ok(call) => answer(service, stream, call).await.err().unwrap_or_default(),
         Err(why) => {
@@ -321,6 +340,17 @@
     }
 }
 
+fn of_sites(service: &Service, call: direct::Call) -> direct::Answer {
+    let now = service.clock.now();
+    match service.with(|director| director.answer(call, now)) {
+        Some((answer, effects)) => {
+            service.carry_out(effects);
+            answer
+        }
+        None => direct::Answer::Elsewhere { serves: service.council.elsewhere() },
+    }
+}
+
 /// Tells a member or an operator who does speak.
 async fn elsewhere(service: &Service, stream: &Stream) -> String {
     let serves = service.council.elsewhere();
@@ -336,7 +366,8 @@
         }
         // What was not agreed on must not be told, though the state has it already.
         let told = service.told.get();
-        let version = service.with(|control| {
+        let version = service.with(|director| {
+            let control = director.control();
             let shape = control.version(told).filter(|shape| shape.version() > last)?;
             Some(ToMember::Version { term: control.term(), shape: Box::new(feed::for_hubs(shape)) })
         });
@@ -363,8 +394,9 @@
             return format!("{name}: an unreadable report");
         };
         let now = service.clock.now();
-        let heard = service.with(|control| {
-            let (part, effects) = control.hear(name, &report, now);
+        let heard = service.with(|director| {
+            let (part, effects) = director.hear(name, &report, now);
+            let control = director.control();
             let beat = ToMember::Beat { term: control.term(), last: control.shape().version() };
             (part.map_or(beat, ToMember::Part), effects)
         });
@@ -382,15 +414,17 @@
     let now = service.clock.now();
     let refused = |text: String| Answer::Refused(text.lines().map(str::to_string).collect());
     let answer = match call {
-        Call::Status => service.with(|control| Answer::Status(Box::new(control.status(now)))),
-        Call::Shape => service.with(|control| Answer::Shape(Box::new(control.shape().form()))),
-        Call::Plan { form } => service.with(|control| match plan::plan(control.shape(), &form, now) {
-            Ok(plan) => Answer::Plan(Box::new(plan)),
-            Err(why) => refused(why.to_string()),
-        }),
+        Call::Status => service.with(|director| Answer::Status(Box::new(director.status(now)))),
+        Call::Shape => service.with(|director| Answer::Shape(Box::new(director.control().shape().form()))),
+        Call::Plan { form } => {
+            service.with(|director| match plan::plan(director.control().shape(), &form, now) {
+                Ok(plan) => Answer::Plan(Box::new(plan)),
+                Err(why) => refused(why.to_string()),
+            })
+        }
         Call::Apply { form, expect, by } => {
             let from = service.numbered.get();
-            match service.with(|control| control.apply(&form, expect, &by, now)) {
+            match service.with(|director| director.apply(&form, expect, &by, now)) {
                 Some(Ok(effects)) => {
                     service.carry_out(effects);
                     return watch(service, stream, from, true).await;
@@ -434,7 +468,9 @@
     let mut open: BTreeMap<(String, String), async_executor::Task<()>> = BTreeMap::new();
     loop {
         // Only who speaks has something to tell routers; they look for it among the feeds that they know.
-        let wanted = service.with(|control| feed::feeds(control.shape(), &service.name)).unwrap_or_default();
+        let wanted = service
+            .with(|director| feed::feeds(director.control().shape(), &service.name))
+            .unwrap_or_default();
         open.retain(|feed, task| wanted.contains(feed) && !task.is_finished());
         for feed in wanted {
             if open.contains_key(&feed) {
@@ -476,7 +512,7 @@
     let mut last: u64 = first.and_then(|n| n.parse().ok()).ok_or("no subscription")?;
     loop {
         let told = service.told.get();
-        let text = service.with(|control| events(control, branch, told, &mut last));
+        let text = service.with(|director| events(director.control(), branch, told, &mut last));
         write(stream, &text.ok_or("this member does not speak")?).await?;
         service.until_news(FEED_BEAT).await;
     }
--- a/crates/fleet/src/play.rs
+++ b/crates/fleet/src/play.rs
@@ -240,6 +240,11 @@
     pub fn play(&mut self) -> Verdict {
         let all = Duration::from_millis(self.scenario.lasts_ms);
         self.play_for(all.saturating_sub(self.begun.elapsed()));
+        self.finish()
+    }
+
+    /// Ends everything now, with SIGTERM, and judges.
+    pub fn finish(&mut self) -> Verdict {
         self.end_all();
         self.judge()
     }
--- a/crates/hub/src/desk.rs
+++ b/crates/hub/src/desk.rs
@@ -14,6 +14,7 @@
 use harestage_shape::route::{self, Next};
 use harestage_shape::shield::{ANSWERS_WITHIN, Reply, Right, Shield};
 use harestage_shape::tree::{ARCHIVE, PlaceIx, Shape, Versions};
+use harestage_sites::sight::Sight;
 use harestage_wire::fields::Hex;
 use harestage_wire::node::{Answer, Asked, CopyTag, Given, Word};
 use harestage_wire::peer::{Chase, Way};
@@ -25,6 +26,8 @@
 
 /// A fill that its source leaves without an answer for as long goes to the next, while there is time for that.
 const STALLED: Span = Span::millis(1_500);
+/// Questions to other sites that are remembered.
+const MOST_ASKS: u64 = 4_096;
 /// A source whose connection was refused, or broke, is passed by for as long.
 const PASSED_BY: Span = Span::millis(1_000);
 /// The archive turned a fetch away: it goes again after it, so often at most.
@@ -33,6 +36,10 @@
 /// The rank of a copy whose pull names none.
 const USUAL_RANK: u8 = 1;
 const BEAT: Span = Span::millis(50);
+/// Somebody at each other site is asked as often.
+const LOOKS_EVERY: Span = Span::millis(100);
+/// Questions in a row without an answer after which a whole site is passed by, here and for now: nobody else need agree.
+const SITE_SILENT: u32 = 4;
 /// Loops that wait to be reported.
 const MOST_LOOPS: usize = 256;
 
@@ -102,6 +109,11 @@
     Fenced(BTreeSet<String>),
     /// All purges that live are known.
     KnowsPurges,
+    /// A hub of another site has answered.
+    Seen {
+        ask: PullNo,
+        leaving: bool,
+    },
     /// What a hub calls itself.
     Named {
         addressed: String,
@@ -127,6 +139,11 @@
         to: Peer,
         chase: Chase,
     },
+    /// Asks a hub of another site whether it is there.
+    Look {
+        ask: PullNo,
+        to: Peer,
+    },
     /// A circle of waits was found here, and broken.
     Broke(Knot),
 }
@@ -203,6 +220,7 @@
     Fill(Key),
     Waiter(Key),
     Beat,
+    Look,
 }
 
 /// How long something takes now, against what it usually takes.
@@ -267,6 +285,13 @@
     unknowing: bool,
     /// It follows no service.
     alone: bool,
+    /// The site that it is at, and what it sees of others.
+    site: String,
+    sight: Sight,
+    /// Who is asked next at each other site.
+    asked_next: usize,
+    /// Questions that are on their way, by the pull number that stands for them.
+    asks: HashMap<PullNo, (String, u64)>,
     /// False: the way that others are measured against, in which a new home fetches without asking the old one.
     hands_over: bool,
 }
@@ -299,6 +324,10 @@
             fenced: BTreeSet::new(),
             unknowing: false,
             alone: false,
+            site: String::new(),
+            sight: Sight::default(),
+            asked_next: 0,
+            asks: HashMap::new(),
             hands_over: true,
         };
         desk.set(now + BEAT, Bell::Beat);
@@ -310,6 +339,14 @@
         self.alone = true;
     }
 
+    /// It is at a site, and looks at the others.
+    pub fn is_at(&mut self, site: &str, now: Moment) {
+        self.site = site.into();
+        if !site.is_empty() {
+            self.set(now + LOOKS_EVERY, Bell::Look);
+        }
+    }
+
     /// A service of purges has to tell all that lives before anything is taken from anyone.
     pub fn waits_for_purges(&mut self) {
         self.unknowing = true;
@@ -358,6 +395,7 @@
             News::Covered { scope, at } => self.store.purge_scope(&scope, at, now),
             News::Fenced(fenced) => self.fence(fenced, now),
             News::KnowsPurges => self.unknowing = false,
+            News::Seen { ask, leaving } => self.seen(ask, leaving, now),
             News::Named { addressed, own } => self.knots.known_as(&addressed, &own),
         }
     }
@@ -600,6 +638,7 @@
         let mut avoid = fill.avoid.clone();
         avoid.extend(self.aside.iter().filter(|(_, until)| **until > now).map(|(place, _)| *place));
         avoid.extend(self.fenced.iter().filter_map(|name| shape.find(name)));
+        avoid.extend(self.silent_hubs(&shape));
         let next = if fill.forced { Some(Next::Archive) } else { route::next(&shape, me, key.0, &avoid) };
         match next {
             Some(Next::Hub(hub)) => self.wait_on(key, hub, path, &shape, now),
@@ -632,12 +671,14 @@
 
     /// Asks former homes, takes its turn at the gate, and fetches.
     fn reach_archive(&mut self, key: Key, me: PlaceIx, shape: &Shape, now: Moment) {
+        let silent = self.silent_hubs(shape);
         let Some(fill) = self.fills.get_mut(&key) else { return };
         let right = match fill.forced || !self.hands_over {
             true => Right::Own,
             false => {
                 let fenced = self.fenced.iter().filter_map(|name| shape.find(name));
-                let asked: Vec<PlaceIx> = fill.asked.iter().copied().chain(fenced).collect();
+                let mut asked: Vec<PlaceIx> = fill.asked.iter().copied().chain(fenced).collect();
+                asked.extend(silent);
                 self.shield.right(&self.versions, me, key, &asked, now)
             }
         };
@@ -906,6 +947,7 @@
                     self.act(Some(act), now);
                 }
             }
+            Bell::Look => self.look(now),
             Bell::Waiter(key) => self.overdue(key, now),
             Bell::Fill(key) => self.stalled(key, now),
         }
@@ -939,6 +981,52 @@
         self.advance(key, now);
     }
 
+    // Other sites.
+
+    /// Asks one hub of each other site whether it is there, each time the next one.
+    fn look(&mut self, now: Moment) {
+        self.set(now + LOOKS_EVERY, Bell::Look);
+        let Some(shape) = self.versions.newest().cloned() else { return };
+        let others: Vec<&str> = shape.sites().into_iter().filter(|site| *site != self.site).collect();
+        self.sight.look_at(others.iter().copied());
+        self.sight.beat(now);
+        self.asked_next += 1;
+        for site in others {
+            let there: Vec<PlaceIx> =
+                shape.hubs().filter(|(_, hub)| hub.site == site).map(|(at, _)| at).collect();
+            let to = there.get(self.asked_next % there.len().max(1)).and_then(|at| peer(&shape, *at));
+            let (Some(to), Some(number)) = (to, self.sight.asks(site, now)) else { continue };
+            self.last_pull += 1;
+            self.asks.insert(self.last_pull, (site.into(), number));
+            self.orders.push(Order::Look { ask: self.last_pull, to });
+        }
+        // What waits for longer was counted as silence already.
+        let oldest = self.last_pull.saturating_sub(MOST_ASKS);
+        self.asks.retain(|ask, _| *ask >= oldest);
+    }
+
+    /// Somebody at another site has answered.
+    fn seen(&mut self, ask: PullNo, leaving: bool, now: Moment) {
+        if let Some((site, number)) = self.asks.remove(&ask) {
+            self.sight.answered(&site, number, leaving, now);
+        }
+    }
+
+    /// Hubs of sites from which nothing is heard: to ask them one by one would cost a time-out each.
+    fn silent_hubs(&self, shape: &Shape) -> Vec<PlaceIx> {
+        let silent: Vec<String> = self
+            .sight
+            .sightings()
+            .into_iter()
+            .filter(|seen| seen.unanswered >= SITE_SILENT)
+            .map(|seen| seen.site)
+            .collect();
+        if silent.is_empty() {
+            return Vec::new();
+        }
+        shape.hubs().filter(|(_, hub)| silent.contains(&hub.site)).map(|(at, _)| at).collect()
+    }
+
     // What is told of this hub.
 
     /// For the control service, some times a second.
@@ -947,7 +1035,19 @@
         let (slowness, archive_slowness) = (self.lasted.slowness(now), self.fetched.slowness(now));
         let (fetches, asked) = (self.fetches.count(now), self.asked.count(now));
         let loops = std::mem::take(&mut self.loops);
-        Report { version: self.version(), slowness, archive_slowness, asked, fetches, wants, part, loops }
+        let (site, sightings) = (self.site.clone(), self.sight.sightings());
+        Report {
+            version: self.version(),
+            slowness,
+            archive_slowness,
+            asked,
+            fetches,
+            wants,
+            part,
+            loops,
+            site,
+            sightings,
+        }
     }
 
     /// Fills under way, and the share of hits.
--- a/crates/hub/src/net/mod.rs
+++ b/crates/hub/src/net/mod.rs
@@ -23,6 +23,8 @@
 
 /// The tag under which a hub asks another what it calls itself.
 const WHO: &[u8] = b"hub-who";
+/// The same for a hub that asks another site whether it is there; a number follows.
+const LOOK: &[u8] = b"hub-look-";
 
 /// What other tasks may ask of the desk, between two of its turns.
 pub(crate) struct Shared {
@@ -69,6 +71,7 @@
     if !start.purges.is_empty() {
         desk.waits_for_purges();
     }
+    desk.is_at(&start.site, clock.now());
     if !start.hands_over {
         desk.without_handover();
     }
@@ -143,6 +146,7 @@
                 Order::Pull { pull, to, ask } => above.pull(pull, &to, ask),
                 Order::Cancel { pull } => above.cancel(pull),
                 Order::Chase { to, chase } => above.chase(&to, &chase),
+                Order::Look { ask, to } => above.look(&to, ask),
                 Order::Broke(knot) => {
                     let (path, object) = (knot.path.join(" -> "), format!("{:016x}", knot.key.0));
                     let waited_ms = knot.waited.as_micros() as f64 / 1e3;
--- a/crates/hub/src/net/up.rs
+++ b/crates/hub/src/net/up.rs
@@ -1,6 +1,6 @@
 //! Connections to what a hub fills from: one each, so that a chase never overtakes the pull that it follows. Its end
 //! tells all that is open on it; a source that owes answers and says nothing for long is taken for gone.
-use super::WHO;
+use super::{LOOK, WHO};
 use crate::desk::{Ask, News, Peer, PullNo};
 use crate::start::Limits;
 use async_channel::Sender;
@@ -22,7 +22,9 @@
 
 const ITEM_ROOM: usize = 64 << 10;
 const READ_BUFFER: usize = 16 << 10;
-const LOOK: Duration = Duration::from_millis(100);
+const LOOKS: Duration = Duration::from_millis(100);
+/// On a connection that is not up yet.
+const MOST_QUESTIONS: usize = 8;
 const IDLE: Duration = Duration::from_secs(20);
 
 struct Queued {
@@ -125,6 +127,17 @@
         }
     }
 
+    /// Asks whether it is there. Without an answer the asker counts silence; nothing is owed here.
+    pub fn look(&mut self, to: &Peer, ask: PullNo) {
+        let wire = self.wire(to, true);
+        // A wire that gets nowhere is no reason to pile questions up on it.
+        if wire.queue.borrow().len() < MOST_QUESTIONS {
+            let tag = [LOOK, ask.to_string().as_bytes()].concat();
+            wire.queue.borrow_mut().push_back(Queued { pull: None, packet: node::write_gauges(&tag) });
+            wire.wake.notify(usize::MAX);
+        }
+    }
+
     /// Follows the pull that it is about over the same connection; without one there is nothing to follow.
     pub fn chase(&mut self, to: &Peer, chase: &Chase) {
         if let Some(wire) = self.wires.get(to).filter(|wire| !wire.ended.get()) {
@@ -191,6 +204,15 @@
             }
             continue;
         }
+        if let Some(ask) = items.first().and_then(|tag| tag.strip_prefix(LOOK)) {
+            let ask = std::str::from_utf8(ask).ok().and_then(|ask| ask.parse().ok());
+            let leaving = items.get(1).is_some_and(|word| word.as_ref() == b"AILING");
+            if let Some(ask) = ask {
+                wire.used.set(Instant::now());
+                let _ = common.inbox.send(News::Seen { ask, leaving }).await;
+            }
+            continue;
+        }
         let Some(answer) = node::read(&items) else { return "an unreadable answer".into() };
         let pull = answer.id.number();
         wire.used.set(Instant::now());
@@ -225,7 +247,7 @@
 
 async fn watch(common: &Common, wire: &Wire) -> String {
     loop {
-        Timer::after(LOOK).await;
+        Timer::after(LOOKS).await;
         let oldest = wire.open.borrow().values().min().copied();
         if oldest.is_some_and(|at| at.max(wire.heard.get()).elapsed() > common.limits.silence) {
             return "it owes answers and says nothing".into();
--- a/crates/hub/tests/desks.rs
+++ b/crates/hub/tests/desks.rs
@@ -153,6 +153,7 @@
 
     fn carry_out(&mut self, name: &str, order: Order) {
         match order {
+            Order::Look { .. } => {}
             Order::Answer { conn, given } => match self.pulls.remove(&(name.into(), given.id)) {
                 Some((puller, pull)) => {
                     let answer = Answer {
--- a/crates/measure/src/main.rs
+++ b/crates/measure/src/main.rs
@@ -1,15 +1,20 @@
 //! `harestage-measure AREA`: measures one area and its baseline in one run, writes target/measure/AREA.json, and fails
-//! where a bound is broken. QUICK=1 takes loads that CI can bear.
+//! where a bound is broken. QUICK=1 takes loads that CI can bear. `harestage-measure drill` prints the scenario of a lost site.
 use std::process::ExitCode;
 
 fn main() -> ExitCode {
     let area = std::env::args().nth(1).unwrap_or_default();
     let quick = std::env::var("QUICK").is_ok_and(|quick| quick == "1");
+    if area == "drill" {
+        println!("{:#}", serde_json::to_value(harestage_measure::site::drill()).unwrap_or_default());
+        return ExitCode::SUCCESS;
+    }
     let figures = match area.as_str() {
         "purge" => harestage_measure::purge::measure(quick),
         "shape" => harestage_measure::shape::measure(quick),
+        "site" => harestage_measure::site::measure(quick),
         _ => {
-            eprintln!("harestage-measure: {area:?} is no area; areas: purge, shape");
+            eprintln!("harestage-measure: {area:?} is no area; areas: purge, shape, site");
             return ExitCode::FAILURE;
         }
     };
--- a/crates/measure/src/three.rs
+++ b/crates/measure/src/three.rs
@@ -23,7 +23,14 @@
     pub comes_again: u32,
     pub surge: Option<Value>,
     pub purges: bool,
-    pub hands_over_sites: bool,
+    /// Whether hubs say where they are: without it nobody can say that a site is lost.
+    pub knows_sites: bool,
+    /// Each hub runs on a machine that bears so much, warms up, and falls over.
+    pub machines: bool,
+    /// Clients come again at once, whatever they are told.
+    pub eager: bool,
+    /// Times that everybody waits longer than usual, for tests on machines that may be busy with something else.
+    pub patience: u64,
 }
 
 impl Default for Three {
@@ -41,7 +48,10 @@
             comes_again: 2,
             surge: None,
             purges: false,
-            hands_over_sites: true,
+            knows_sites: true,
+            machines: false,
+            eager: false,
+            patience: 1,
         }
     }
 }
@@ -82,19 +92,30 @@
         SITES.iter().flat_map(|site| (1..=self.hubs_a_site).map(|n| (*site, hub(site, n)))).collect()
     }
 
+    /// What a member of the control service is called; one that is alone has no name of its own.
+    fn member(&self, n: usize) -> String {
+        if self.services > 1 { control(n) } else { "control".into() }
+    }
+
+    /// Where others reach a hub: past its machine.
+    fn reached(&self, hub: &str) -> String {
+        if self.machines { format!("@m-{hub}") } else { format!("@{hub}") }
+    }
+
     /// The shape in service at the start. Each branch is tied to a hub of its own site and to one of the next.
     pub fn shape(&self) -> Value {
         let hubs = self.hubs().into_iter().map(|(site, name)| {
-            json!({"name": name, "address": format!("@{name}"), "site": site, "capacity": self.hub_capacity,
+            let site = if self.knows_sites { site } else { "" };
+            json!({"name": name, "address": self.reached(&name), "site": site, "capacity": self.hub_capacity,
                 "passes": 0.3, "cold_ms": 4_000, "up": ["archive"]})
         });
         let branches = SITES.iter().enumerate().map(|(n, site)| {
             let next = SITES[(n + 1) % SITES.len()];
             let caches = json!([{"name": format!("s-{n}"), "address": format!("@edge-{site}")}]);
             let feeds: Map<String, Value> = (1..=self.services)
-                .map(|n| (control(n), json!(format!("!{}/{}", control(n), branch(site)))))
+                .map(|n| (self.member(n), json!(format!("!{}/{}", control(n), branch(site)))))
                 .collect();
-            json!({"name": branch(site), "site": site, "load": self.rate, "hubs": [hub(site, 1), hub(next, 1)],
+            json!({"name": branch(site), "site": if self.knows_sites { site } else { "" }, "load": self.rate, "hubs": [hub(site, 1), hub(next, 1)],
                 "feeds": feeds, "caches": caches})
         });
         json!({
@@ -109,7 +130,12 @@
         if self.purges {
             processes.extend((1..=self.services).map(|n| self.purger(n)));
         }
-        processes.extend(self.hubs().into_iter().map(|(site, name)| self.hub(site, &name)));
+        for (site, name) in self.hubs() {
+            processes.push(self.hub(site, &name));
+            if self.machines {
+                processes.push(self.machine(site, &name));
+            }
+        }
         for (n, site) in SITES.iter().enumerate() {
             processes.push(self.edge(site));
             processes.extend((1..=self.routers_a_branch).map(|r| self.router(site, r)));
@@ -184,7 +210,8 @@
 
     fn hub(&self, site: &str, name: &str) -> ProcessForm {
         let controls: Vec<String> = (1..=self.services).map(|n| format!("@{}", control(n))).collect();
-        let mut file = json!({"name": name, "listen": format!("!{name}"), "controls": controls, "site": site,
+        let site_said = if self.knows_sites { site } else { "" };
+        let mut file = json!({"name": name, "listen": format!("!{name}"), "controls": controls, "site": site_said,
             "memory_mb": 64, "contents": contents()});
         if self.purges {
             let purges: Vec<String> = (1..=self.services).map(|n| format!("@purges-{n}")).collect();
@@ -193,9 +220,16 @@
         process(name, site, Runs::Hub, file)
     }
 
+    fn machine(&self, site: &str, hub: &str) -> ProcessForm {
+        let name = format!("m-{hub}");
+        let front = json!({"listen": format!("!{name}"), "to": format!("!{hub}"), "capacity": self.hub_capacity,
+            "cold_from": 0.1, "cold_ms": 4_000, "falls_at": 2.0, "falls_within_ms": 1_000});
+        process(&name, site, Runs::Standin, json!({"fronts": [front]}))
+    }
+
     fn edge(&self, site: &str) -> ProcessForm {
         let mut sources: Map<String, Value> =
-            self.hubs().into_iter().map(|(_, name)| (name.clone(), json!(format!("@{name}")))).collect();
+            self.hubs().into_iter().map(|(_, name)| (name.clone(), json!(self.reached(&name)))).collect();
         sources.insert("archive".into(), json!("@archive"));
         let name = format!("edge-{site}");
         let file = json!({"edges": [{"listen": format!("!{name}"), "sources": sources}]});
@@ -208,7 +242,7 @@
             (1..=self.services).map(|c| format!("@{}/{}", control(c), branch(site))).collect();
         let file = json!({"name": name, "listen": format!("!{name}"), "seed": format!("{:016x}", 77 + n as u64),
             "feed": feeds[0], "limits": {"memory_mb": 96, "sockets": 512},
-            "known": {"n": 0, "events": []}, "settings": settings(self.routers_a_branch)});
+            "known": {"n": 0, "events": []}, "settings": settings(self.routers_a_branch, self.patience)});
         let mut form = process(&name, &branch(site), Runs::Router, file);
         form.words = feeds.iter().skip(1).flat_map(|feed| ["--feed".to_string(), feed.clone()]).collect();
         form
@@ -218,11 +252,11 @@
         let routers: Vec<String> =
             (1..=self.routers_a_branch).map(|r| format!("@router-{site}-{r}")).collect();
         let mut crowd = json!({"routers": routers, "rate": self.rate, "objects": self.objects, "seed": 5 + n,
-            "begins_ms": 1_500, "lasts_ms": self.lasts_ms.saturating_sub(1_500), "comes_again": self.comes_again,
+            "begins_ms": 1_500, "lasts_ms": self.lasts_ms.saturating_sub(1_500), "comes_again": self.comes_again, "eager": self.eager,
             "contents": [
-                {"name": "clip", "share": 6, "waits_ms": 3_000, "target_ms": 600, "benefit": 2},
-                {"name": "page", "share": 4, "waits_ms": 2_000, "target_ms": 400},
-                {"name": "filing", "share": 0.3, "waits_ms": 3_000, "target_ms": 700, "benefit": 3, "filing": true}]});
+                {"name": "clip", "share": 6, "waits_ms": 3_000 * self.patience, "target_ms": 600 * self.patience, "benefit": 2},
+                {"name": "page", "share": 4, "waits_ms": 2_000 * self.patience, "target_ms": 400 * self.patience},
+                {"name": "filing", "share": 0.3, "waits_ms": 3_000 * self.patience, "target_ms": 700 * self.patience, "benefit": 3, "filing": true}]});
         if let Some(surge) = &self.surge {
             crowd["surge"] = surge.clone();
         }
@@ -235,14 +269,14 @@
 }
 
 /// A router's settings, as the platform gives them.
-fn settings(routers: usize) -> Value {
+fn settings(routers: usize, patience: u64) -> Value {
     let class = |name: &str, aim: u64, effect: &str, worth: f64| json!({"Name": name, "Aim": aim, "Idempotency": effect, "Worth": worth});
     json!({
         "Allowed": {"Cancel": true, "ConnectTimeout": 400_000, "IdleClose": 30_000_000, "MaxAttempts": 6,
             "MaxRetryAfter": 500_000, "MostHeld": 20_000, "RetryAfter": true, "StreamsPerConn": 100},
         "Balancers": routers,
-        "Classes": [class("clip", 600_000, "repeatable", 2.0), class("page", 400_000, "repeatable", 1.0),
-            class("filing", 700_000, "once", 3.0)],
+        "Classes": [class("clip", 600_000 * patience, "repeatable", 2.0), class("page", 400_000 * patience, "repeatable", 1.0),
+            class("filing", 700_000 * patience, "once", 3.0)],
         "FamilyInfo": {"MidKind": 1, "StoreKind": 2, "CountByZone": [0, routers], "FlowKbPerS": 8_000.0,
             "ZoneLinkKbPerS": [0.0, 800_000.0], "GoodFor": [0, 0, 0], "GraceFor": [0, 0, 0],
             "ClassWrite": [false, false, true], "ClassParts": [false, false, false], "PurgeSettles": 6_000_000,
--- a/crates/seats/src/lib.rs
+++ b/crates/seats/src/lib.rs
@@ -35,6 +35,12 @@
 }
 
 impl CouncilStart {
+    /// Where this member is, as its founders say; nowhere for one that joins later or is alone.
+    pub fn site(&self) -> String {
+        let own = self.founders.iter().find(|member| member.name == self.name);
+        own.map(|member| member.site.clone()).unwrap_or_default()
+    }
+
     /// A group of one.
     pub fn alone(name: &str) -> CouncilStart {
         let member = Member {
--- a/crates/seats/src/net.rs
+++ b/crates/seats/src/net.rs
@@ -21,7 +21,10 @@
 const CONNECT: Duration = Duration::from_millis(400);
 const PAUSE: Duration = Duration::from_millis(150);
 const STALL: Duration = Duration::from_secs(3);
-/// A member that has sent nothing for as long is dialled anew by the other side; heartbeats come much more often.
+/// Where there is nothing to say, an empty frame says that the line stands: members that follow say nothing to each other
+/// until one of them wants to lead, and then every lost word costs an election.
+const BEAT: Duration = Duration::from_millis(500);
+/// A line on which nothing came for as long has ended.
 const SILENT: Duration = Duration::from_secs(5);
 const MOST_CONNECTIONS: usize = 64;
 const LOOK: Duration = Duration::from_millis(500);
@@ -127,6 +130,9 @@
     write_text(stream, format!("DISK {own:016x}\n").as_bytes(), STALL).await?;
     loop {
         let frame = within(SILENT, "silent", read_frame(stream)).await?;
+        if frame.is_empty() {
+            continue;
+        }
         let now = council.clock.now();
         council.seat.borrow_mut().step(&frame, now);
         council.pump();
@@ -231,18 +237,38 @@
         return Err(format!("{} is on another disk than before", member.name).into());
     }
     *down = false;
-    loop {
-        let Some(bytes) = post.pop() else {
-            let wake = post.wake.listen();
-            if post.waiting.get() == 0 {
-                wake.await;
+    let write = async {
+        loop {
+            let bytes = match post.pop() {
+                Some(bytes) => bytes,
+                None => {
+                    let wake = post.wake.listen();
+                    if post.waiting.get() == 0 {
+                        futures_lite::future::or(wake, async {
+                            Timer::after(BEAT).await;
+                        })
+                        .await;
+                    }
+                    post.pop().unwrap_or_default()
+                }
+            };
+            let frame = [&(bytes.len() as u32).to_be_bytes()[..], &bytes].concat();
+            let wrote = within(STALL, "it takes nothing", async {
+                (&stream).write_all(&frame).await.map_err(|why| why.to_string())
+            });
+            if let Err(why) = wrote.await {
+                return why;
             }
-            continue;
-        };
-        let frame = [&(bytes.len() as u32).to_be_bytes()[..], &bytes].concat();
-        within(STALL, "it takes nothing", async {
-            (&stream).write_all(&frame).await.map_err(|why| why.to_string())
-        })
-        .await?;
-    }
+        }
+    };
+    // The other side says nothing more on this line: what can be read is its end, which a write would learn of too late.
+    let closed = async {
+        let mut byte = [0];
+        match (&stream).read(&mut byte).await {
+            Ok(0) => "closed".to_string(),
+            Ok(_) => "it speaks where it should listen".to_string(),
+            Err(why) => why.to_string(),
+        }
+    };
+    Err(futures_lite::future::or(write, closed).await.into())
 }
--- a/crates/shape/src/control.rs
+++ b/crates/shape/src/control.rs
@@ -40,6 +40,50 @@
         by: String,
     },
     Stage(Stage),
+    /// How the sites stand from now on.
+    Sites(Box<SitesRecord>),
+}
+
+/// What has to outlive a service about its sites.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct SitesRecord {
+    pub standings: BTreeMap<String, Standing>,
+    /// The shape that operators want, where the one in service leaves sites out.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub wanted: Option<ShapeForm>,
+}
+
+/// Where a site is on its way out of service and back; `harestage_sites` decides on it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Standing {
+    #[default]
+    InService,
+    /// Nobody is tied to it any more.
+    Lost,
+    /// It is heard again, and proves that it stays.
+    Held,
+    /// Its ties come back, step by step.
+    Returning,
+    /// Its ties go, step by step: staff has asked for it.
+    Leaving,
+    /// Staff keeps it out.
+    Out,
+}
+
+/// What a witness says of a site, in its report.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Sighting {
+    pub site: String,
+    /// Questions in a row that nobody there has answered.
+    pub unanswered: u32,
+    /// Whether anything was ever heard of it.
+    pub known: bool,
+    /// Time of the last answers against the usual one; 1 is usual.
+    pub slowness: f64,
+    /// The site itself says that it is going down in order.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub leaving: bool,
 }
 
 /// What has to be done, in this order.
@@ -56,13 +100,53 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case", tag = "what")]
 pub enum Said {
-    Begun { from: u64, steps: usize, by: String },
-    StepOut { step: usize, of: usize, version: u64 },
-    StepSettled { step: usize, of: usize },
-    StepUndone { step: usize, version: u64, why: String },
-    Held { step: usize, of: usize, why: String },
-    Ended { complete: bool, version: u64 },
-    Loop { hub: String, object: String, path: Vec<String>, waited_ms: f64, before: u32 },
+    Begun {
+        from: u64,
+        steps: usize,
+        by: String,
+    },
+    StepOut {
+        step: usize,
+        of: usize,
+        version: u64,
+    },
+    StepSettled {
+        step: usize,
+        of: usize,
+    },
+    StepUndone {
+        step: usize,
+        version: u64,
+        why: String,
+    },
+    Held {
+        step: usize,
+        of: usize,
+        why: String,
+    },
+    Ended {
+        complete: bool,
+        version: u64,
+    },
+    /// A site stands so from now on.
+    Site {
+        site: String,
+        is: Standing,
+        why: String,
+    },
+    /// What is held of a site, before anything is done about it.
+    Seen {
+        site: String,
+        view: String,
+        seen_ms: u64,
+    },
+    Loop {
+        hub: String,
+        object: String,
+        path: Vec<String>,
+        waited_ms: f64,
+        before: u32,
+    },
 }
 
 #[derive(Clone, Debug, PartialEq)]
@@ -118,6 +202,11 @@
     pub part: u64,
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub loops: Vec<LoopSeen>,
+    /// Where it is, and what it sees of other sites.
+    #[serde(default, skip_serializing_if = "String::is_empty")]
+    pub site: String,
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub sightings: Vec<Sighting>,
 }
 
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -200,7 +289,7 @@
                     self.runner = Some((runner, by.clone()));
                 }
                 Entry::Stage(stage) => self.enter(stage, now),
-                Entry::Opened | Entry::Shape(_) => {}
+                Entry::Opened | Entry::Shape(_) | Entry::Sites(_) => {}
             }
         }
     }
@@ -265,6 +354,27 @@
         Ok(vec![record, self.say(said)])
     }
 
+    /// Goes over to another shape at once, whatever is under way: a site is lost, and there is no time for steps.
+    pub fn jump(&mut self, shape: Shape) -> Vec<Effect> {
+        let mut effects = Vec::new();
+        if self.runner.take().is_some() {
+            (self.base, self.held) = (None, None);
+            let version = self.shape.version();
+            effects.push(self.record(Entry::Stage(Stage::Ended { complete: false })));
+            effects.push(self.say(Said::Ended { complete: false, version }));
+        }
+        self.shape = shape;
+        self.keep();
+        effects.push(self.record(Entry::Shape(Box::new(self.shape.form()))));
+        effects.push(Effect::Publish(self.shape.version()));
+        effects
+    }
+
+    /// A record of this term, for what is decided beside it.
+    pub fn note(&self, entry: Entry) -> Effect {
+        self.record(entry)
+    }
+
     fn say(&mut self, said: Said) -> Effect {
         self.last = Some(said.clone());
         Effect::Say(said)
--- /dev/null
+++ b/crates/sites/src/direct.rs
@@ -0,0 +1,366 @@
+//! The control service's state machine with its sites: evidence in, and versions that leave a lost site out, at once and by
+//! the plan that was made beforehand, or bring one back in the steps of an ordinary change. Like [`Control`], it does no
+//! input or output: effects come back in their order, a record before all that follows from it.
+use crate::plan::{self, Plans, SitePlan};
+use crate::sight::Sighting;
+use crate::standing::{Ask, Standing, Standings, Step, Turned};
+use crate::watch::{Kind, View, Watch};
+use harestage::time::{Moment, Span};
+use harestage_shape::control::{Control, Effect, Entry, Record, Refused, Report, Said, SitesRecord, Status};
+use harestage_shape::form::ShapeForm;
+use harestage_shape::parts::Part;
+use harestage_shape::tree::Shape;
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// A site whose hubs have not reported for as long counts one question without an answer, at the service.
+const REPORT_MISSED: Span = Span::millis(300);
+/// Beats further apart than this: the service itself did not run, and missed nothing that it could count.
+const ASLEEP: Span = Span::millis(700);
+/// A reported silence of hubs counts only once a site's hubs were heard at all.
+const MOST_SITES: usize = 256;
+
+/// For `harestage site status`.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct SiteStatus {
+    pub site: String,
+    pub view: View,
+    pub standing: Standing,
+    pub hubs: usize,
+    /// Witnesses at the site that have a word now.
+    pub witnesses: usize,
+    pub losses: usize,
+    /// What its loss would do: whether all is served, and what is not.
+    pub fits: bool,
+    pub refused_share: f64,
+    pub fullest: String,
+    pub fullest_share: f64,
+    pub archive_first: f64,
+}
+
+/// The whole of it.
+pub struct Director {
+    control: Control,
+    watch: Watch,
+    standings: Standings,
+    plans: Plans,
+    /// The shape that operators want, with no site left out.
+    wanted: Shape,
+    /// When a hub of each site was last heard, by the service itself.
+    heard: BTreeMap<String, Moment>,
+    last_beat: Moment,
+    /// Since when each site's hubs count as started: they come back with nothing.
+    since_ms: BTreeMap<String, u64>,
+}
+
+impl Director {
+    /// Takes the service up from its journal. What comes back first is the record of the new term.
+    pub fn open(
+        journal: &[Record],
+        first: Option<&ShapeForm>,
+        now: Moment,
+    ) -> Result<(Director, Vec<Effect>), Refused> {
+        let (control, effects) = Control::open(journal, first, now)?;
+        let kept = journal.iter().rev().find_map(|record| match &record.entry {
+            Entry::Sites(kept) => Some(kept.as_ref().clone()),
+            _ => None,
+        });
+        let kept = kept.unwrap_or_default();
+        let wanted = kept.wanted.as_ref().and_then(|form| control.shape().followed_by(form).ok());
+        let wanted = wanted.unwrap_or_else(|| control.shape().clone());
+        let names: Vec<String> = sites_of(&wanted);
+        let mut standings = Standings::default();
+        standings.set_sites(names.iter().map(String::as_str));
+        for (site, to) in kept.standings {
+            // Its steps go on in the change that was under way; if there is none, they have ended where they stood.
+            let to = match to {
+                Standing::Returning if !control.is_changing() => Standing::Held,
+                Standing::Leaving if !control.is_changing() => Standing::InService,
+                other => other,
+            };
+            standings.enter(&Turned { site, to, why: String::new() }, now);
+        }
+        let plans = Plans::of(&wanted, None, true, now);
+        let watch = Watch::new(names.iter().map(String::as_str), now);
+        let (heard, since_ms) = (BTreeMap::new(), BTreeMap::new());
+        Ok((Director { control, watch, standings, plans, wanted, heard, last_beat: now, since_ms }, effects))
+    }
+
+    pub fn control(&self) -> &Control {
+        &self.control
+    }
+
+    pub fn plans(&self) -> &Plans {
+        &self.plans
+    }
+
+    pub fn standing(&self, site: &str) -> Option<&Standing> {
+        self.standings.of(site)
+    }
+
+    /// A hub has reported; it gets its part of the archive.
+    pub fn hear(&mut self, hub: &str, report: &Report, now: Moment) -> (Option<Part>, Vec<Effect>) {
+        if !report.site.is_empty() && (self.heard.len() < MOST_SITES || self.heard.contains_key(&report.site))
+        {
+            self.heard.insert(report.site.clone(), now);
+            self.watch.hear(hub, &report.site, Kind::Hub, report.sightings.clone(), now);
+        }
+        self.control.hear(hub, report, now)
+    }
+
+    /// To be called some times a second; `site` is where the member of the service is that leads.
+    pub fn beat(&mut self, name: &str, site: &str, now: Moment) -> Vec<Effect> {
+        self.bear_witness(name, site, now);
+        let mut effects = self.control.beat(now);
+        let ended = self.follow_the_change(&effects, now);
+        effects.extend(ended);
+        for change in self.watch.beat(now) {
+            effects.push(Effect::Say(Said::Seen {
+                site: change.site.clone(),
+                view: words(&change.to),
+                seen_ms: change.seen_for.as_micros() / 1_000,
+            }));
+            if change.from == View::Lost {
+                self.since_ms.insert(change.site.clone(), now.micros() / 1_000);
+            }
+            if let Some((turned, step)) = self.standings.seen(&change) {
+                effects.extend(self.turn(turned, step, now));
+            }
+        }
+        let watch = &self.watch;
+        let next =
+            self.standings.next_return(self.control.is_changing(), |site| watch.is_held(site, now), now);
+        if let Some((turned, step)) = next {
+            effects.extend(self.turn(turned, Some(step), now));
+        }
+        effects
+    }
+
+    /// The service is a witness too: it hears a site when a hub there reports.
+    fn bear_witness(&mut self, name: &str, site: &str, now: Moment) {
+        let asleep = now.since(self.last_beat) > ASLEEP;
+        self.last_beat = now;
+        if asleep {
+            // Reports that waited meanwhile are read only now: their silence is the service's own.
+            self.heard.values_mut().for_each(|heard| *heard = now);
+        }
+        if site.is_empty() {
+            return;
+        }
+        let sighting = |(other, heard): (&String, &Moment)| Sighting {
+            site: other.clone(),
+            unanswered: (now.since(*heard) / REPORT_MISSED) as u32,
+            known: true,
+            slowness: 1.0,
+            leaving: false,
+        };
+        let sightings = self.heard.iter().filter(|(other, _)| *other != site).map(sighting).collect();
+        self.watch.hear(name, site, Kind::Service, sightings, now);
+    }
+
+    /// A change that has come to its end was some site's steps, perhaps.
+    fn follow_the_change(&mut self, said: &[Effect], now: Moment) -> Vec<Effect> {
+        let ended = said.iter().find_map(|effect| match effect {
+            Effect::Say(Said::Ended { complete, .. }) => Some(*complete),
+            _ => None,
+        });
+        let Some(complete) = ended else { return Vec::new() };
+        match self.standings.ended(complete) {
+            Some(turned) => self.turn(turned, None, now),
+            // Whatever the shape is now, what stands of the sites has to be behind it in the journal.
+            None => vec![self.sites_record()],
+        }
+    }
+
+    /// Writes a standing down, says it, and does what follows.
+    fn turn(&mut self, turned: Turned, step: Option<Step>, now: Moment) -> Vec<Effect> {
+        self.standings.enter(&turned, now);
+        let said = Said::Site { site: turned.site.clone(), is: turned.to, why: turned.why.clone() };
+        let mut effects = vec![self.sites_record(), Effect::Say(said)];
+        match step {
+            None => {}
+            Some(Step::Without(out)) => effects.extend(self.leave_out(&out, now)),
+            Some(Step::Towards { out, site }) => effects.extend(self.go_towards(&out, &site, now)),
+        }
+        effects
+    }
+
+    fn sites_record(&self) -> Effect {
+        let standings = self.standings.all().map(|(site, standing)| (site.to_string(), *standing)).collect();
+        let wanted = Some(self.wanted.form());
+        self.control.note(Entry::Sites(Box::new(SitesRecord { standings, wanted })))
+    }
+
+    /// By the plan that was made beforehand, or one made now for more sites than any was made for.
+    fn plan_for(&self, out: &BTreeSet<String>, now: Moment) -> SitePlan {
+        let known =
+            self.plans.get(out).filter(|plan| self.plans.version == self.wanted.version() && !plan.all_lost);
+        known.cloned().unwrap_or_else(|| plan::plan(&self.wanted, out, now))
+    }
+
+    /// At once.
+    fn leave_out(&mut self, out: &BTreeSet<String>, now: Moment) -> Vec<Effect> {
+        let plan = self.plan_for(out, now);
+        if plan.all_lost {
+            // To be tied to nobody helps nobody.
+            return Vec::new();
+        }
+        let shape = plan.shape(&self.wanted, self.control.shape().version() + 1);
+        let mut effects = self.control.jump(shape);
+        effects.push(self.sites_record());
+        effects
+    }
+
+    /// In steps, as any change; one that does not hold is given up before it begins.
+    fn go_towards(&mut self, out: &BTreeSet<String>, site: &str, now: Moment) -> Vec<Effect> {
+        let mut form = match out.is_empty() {
+            true => self.wanted.form(),
+            false => self.plan_for(out, now).shape(&self.wanted, self.wanted.version()).form(),
+        };
+        if let Some(since_ms) = self.since_ms.get(site) {
+            for hub in form.hubs.iter_mut().filter(|hub| hub.site == site) {
+                hub.since_ms = hub.since_ms.max(*since_ms);
+            }
+        }
+        match self.control.apply(&form, None, &format!("site {site}"), now) {
+            Ok(effects) => effects,
+            Err(Refused::Same { .. }) => self.end_steps(true, now),
+            Err(_) => self.end_steps(false, now),
+        }
+    }
+
+    fn end_steps(&mut self, complete: bool, now: Moment) -> Vec<Effect> {
+        match self.standings.ended(complete) {
+            Some(turned) => self.turn(turned, None, now),
+            None => Vec::new(),
+        }
+    }
+
+    /// Begins a change that an operator wants. Sites that are out stay out: it goes towards the wanted shape without them.
+    pub fn apply(
+        &mut self,
+        form: &ShapeForm,
+        expect: Option<u64>,
+        by: &str,
+        now: Moment,
+    ) -> Result<Vec<Effect>, Refused> {
+        let out = self.standings.out();
+        let wanted = self.wanted.followed_by(form).map_err(Refused::Wrong)?;
+        let target = match out.is_empty() {
+            true => form.clone(),
+            false => plan::plan(&wanted, &out, now).shape(&wanted, wanted.version()).form(),
+        };
+        let mut effects = self.control.apply(&target, expect, by, now)?;
+        self.wanted = wanted;
+        let names = sites_of(&self.wanted);
+        self.standings.set_sites(names.iter().map(String::as_str));
+        self.watch.set_sites(names.iter().map(String::as_str), now);
+        self.plans = Plans::of(&self.wanted, Some(&self.plans), true, now);
+        effects.push(self.sites_record());
+        Ok(effects)
+    }
+
+    /// Staff asks for something of a site.
+    pub fn ask(&mut self, site: &str, ask: Ask, by: &str, now: Moment) -> Result<Vec<Effect>, String> {
+        let busy = self.control.is_changing();
+        let (turned, step) = self.standings.ask(site, ask, by, busy).map_err(|why| why.to_string())?;
+        Ok(self.turn(turned, step, now))
+    }
+
+    pub fn status(&self, now: Moment) -> Status {
+        self.control.status(now)
+    }
+
+    pub fn sites(&self) -> Vec<SiteStatus> {
+        let witnesses = self.watch.witnesses();
+        let status = |(site, standing): (&str, &Standing)| {
+            let plan = self.plans.get(&BTreeSet::from([site.to_string()])).cloned().unwrap_or_default();
+            SiteStatus {
+                site: site.into(),
+                view: self.watch.view(site).clone(),
+                standing: *standing,
+                hubs: self.wanted.hubs().filter(|(_, hub)| hub.site == site).count(),
+                witnesses: witnesses.get(site).copied().unwrap_or(0),
+                losses: self.watch.losses(site),
+                fits: plan.fits(),
+                refused_share: plan.refused_share,
+                fullest: plan.fullest,
+                fullest_share: plan.fullest_share,
+                archive_first: plan.archive_first,
+            }
+        };
+        self.standings.all().map(status).collect()
+    }
+}
+
+fn sites_of(shape: &Shape) -> Vec<String> {
+    shape.sites().into_iter().map(str::to_string).collect()
+}
+
+/// What is held of a site, for lines.
+pub fn words(view: &View) -> String {
+    match view {
+        View::Unknown => "unknown".into(),
+        View::Up => "up".into(),
+        View::Slow { times } => format!("slow, {times:.1} times its usual"),
+        View::CutFromSome { by } => format!("cut off from {}", by.join(" ")),
+        View::CutFromServices => "cut off from the service".into(),
+        View::Leaving => "leaving".into(),
+        View::Lost => "lost".into(),
+    }
+}
+
+/// What staff asks, as lines of JSON that the control service takes beside its own.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Call {
+    Sites,
+    Site {
+        site: String,
+        ask: Ask,
+        by: String,
+    },
+    /// The plan for the loss of these.
+    SitePlan {
+        lost: BTreeSet<String>,
+    },
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Answer {
+    Sites(Vec<SiteStatus>),
+    SiteBegun {
+        site: String,
+        standing: Standing,
+    },
+    SitePlan(Box<SitePlan>),
+    Refused(String),
+    /// This member of the service does not speak for it.
+    Elsewhere {
+        serves: Option<String>,
+    },
+}
+
+impl Director {
+    /// Answers a call, with what has to be done for it.
+    pub fn answer(&mut self, call: Call, now: Moment) -> (Answer, Vec<Effect>) {
+        match call {
+            Call::Sites => (Answer::Sites(self.sites()), Vec::new()),
+            Call::SitePlan { lost } => {
+                let unknown = lost.iter().find(|site| self.standings.of(site).is_none());
+                match unknown {
+                    Some(site) => (Answer::Refused(format!("site {site:?} is unknown")), Vec::new()),
+                    None => (Answer::SitePlan(Box::new(self.plan_for(&lost, now))), Vec::new()),
+                }
+            }
+            Call::Site { site, ask, by } => match self.ask(&site, ask, &by, now) {
+                Ok(effects) => {
+                    let standing = self.standings.of(&site).copied().unwrap_or_default();
+                    (Answer::SiteBegun { site, standing }, effects)
+                }
+                Err(why) => (Answer::Refused(why), Vec::new()),
+            },
+        }
+    }
+}
--- a/crates/sites/src/plan.rs
+++ b/crates/sites/src/plan.rs
@@ -394,6 +394,15 @@
             ties.retain(|tie| !full.contains(tie));
         }
         self.rooms.extend(taken);
+        // Where nobody has room, the least full one refuses what it has to, by its worth; to be tied to nobody would
+        // lose the dear with the cheap.
+        if ties.is_empty() {
+            let left = (0..self.base.hubs.len()).filter(|hub| !self.lost[self.base.hubs[*hub].site]);
+            let own = self.base.tied[place].hub;
+            ties.extend(
+                left.filter(|hub| Some(*hub) != own).max_by(|a, b| self.room(*a).total_cmp(&self.room(*b))),
+            );
+        }
         ties
     }
 
--- a/crates/sites/src/sight.rs
+++ b/crates/sites/src/sight.rs
@@ -3,7 +3,6 @@
 //! Silence is counted in questions without an answer, not in time: a process that was stopped for a minute and wakes up
 //! has asked nothing meanwhile, and so has seen no silence.
 use harestage::time::{Moment, Span};
-use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
 /// A question that has waited for as long counts as unanswered.
@@ -17,23 +16,7 @@
 /// Questions to one site that are remembered.
 const MOST_OPEN: usize = 32;
 
-/// What a witness says of a site, in its report.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
-pub struct Sighting {
-    pub site: String,
-    /// Questions in a row that nobody there has answered.
-    pub unanswered: u32,
-    /// Whether anything was ever heard of it.
-    pub known: bool,
-    /// Time of the last answers against the usual one; 1 is usual.
-    pub slowness: f64,
-    /// The site itself says that it is going down in order.
-    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
-    pub leaving: bool,
-    /// Somebody there says that it has just started, and holds nothing.
-    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
-    pub fresh: bool,
-}
+pub use harestage_shape::control::Sighting;
 
 #[derive(Clone, Debug, Default)]
 struct Seen {
@@ -44,7 +27,6 @@
     usual: Option<f64>,
     recent: Option<f64>,
     leaving: bool,
-    fresh: bool,
 }
 
 /// One process's eyes.
@@ -94,9 +76,9 @@
     }
 
     /// Somebody there has answered, in time or late.
-    pub fn answered(&mut self, site: &str, number: u64, leaving: bool, fresh: bool, now: Moment) {
+    pub fn answered(&mut self, site: &str, number: u64, leaving: bool, now: Moment) {
         let Some(seen) = self.sites.get_mut(site) else { return };
-        (seen.known, seen.unanswered, seen.leaving, seen.fresh) = (true, 0, leaving, fresh);
+        (seen.known, seen.unanswered, seen.leaving) = (true, 0, leaving);
         let Some(asked) = seen.open.remove(&number) else { return };
         // What was asked before it is not owed any more: the site is there.
         seen.open.retain(|_, at| *at > asked);
@@ -123,7 +105,6 @@
             known: seen.known,
             slowness: seen.slowness(),
             leaving: seen.leaving,
-            fresh: seen.fresh,
         };
         self.sites.iter().map(sighting).collect()
     }
--- a/crates/standins/src/script.rs
+++ b/crates/standins/src/script.rs
@@ -1,5 +1,5 @@
 //! Stand-ins by a script in JSON: which there are, and what happens to their links when.
-use crate::{Archive, ArchiveScript, CrowdPlace, Edge, Fault, Link, crowd, say};
+use crate::{Archive, ArchiveScript, CrowdPlace, Edge, Fault, Front, Link, Machine, crowd, say};
 use serde::Deserialize;
 use serde_json::json;
 use std::collections::HashMap;
@@ -15,6 +15,7 @@
     pub edges: Vec<EdgePlace>,
     pub links: Vec<LinkPlace>,
     pub crowds: Vec<CrowdPlace>,
+    pub fronts: Vec<FrontPlace>,
     /// How long it all lasts; absent: ten minutes.
     pub lasts_ms: Option<u64>,
 }
@@ -44,6 +45,33 @@
     pub faults: Vec<FaultAt>,
 }
 
+/// The machine that a hub runs on: it starts with the script, cold.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct FrontPlace {
+    pub listen: SocketAddr,
+    pub to: SocketAddr,
+    pub capacity: f64,
+    /// 1: warm from its start.
+    pub cold_from: f64,
+    pub cold_ms: u64,
+    pub falls_at: f64,
+    pub falls_within_ms: u64,
+}
+
+impl FrontPlace {
+    fn machine(&self) -> Machine {
+        Machine {
+            capacity: self.capacity,
+            started: Instant::now(),
+            cold_from: self.cold_from,
+            cold: Duration::from_millis(self.cold_ms),
+            falls_at: self.falls_at,
+            falls_within: Duration::from_millis(self.falls_within_ms),
+        }
+    }
+}
+
 #[derive(Clone, Copy, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct FaultAt {
@@ -89,6 +117,9 @@
             due.extend(place.faults.iter().map(|fault| (fault.at_ms, link.clone(), fault.fault)));
         }
         due.sort_by_key(|(at, _, _)| *at);
+        let fronts =
+            self.fronts.iter().map(|place| Ok(Front::on(bind(place.listen)?, place.to, place.machine())));
+        let fronts: Vec<Front> = fronts.collect::<Result<_, ScriptError>>()?;
         let crowds = self.crowds.iter().cloned().map(|place| {
             let stop = stop.clone();
             std::thread::spawn(move || crowd::play(place, &stop))
@@ -103,6 +134,9 @@
                 link.set(fault);
             }
             archives.iter().zip(&mut told).for_each(|(archive, told)| tell(archive, told));
+            for front in &fronts {
+                say("front", json!({"peak_share": front.peak_share(), "fell": front.has_fallen()}));
+            }
             std::thread::sleep(TELLS_EVERY);
         }
         stop.store(true, Ordering::Relaxed);
