Hubs keep what they hold of the archive's gate through a change of leader; plans spread wider

The next member of the service took the whole of the archive's gate for given out until a term had passed, so that hubs were down to their floors just when a third of all objects had lost their home; and it counted parts from 1 again, so that hubs passed its parts by for as long as the one before had run (`Sharing::ask`, `Share::told` in crates/shape/src/parts.rs). Plans filled hubs to nine tenths, where what waits in line makes answers late, and a home that moved asked the lost hubs first.

Change: hubs report the rate that they hold and go on with it at once; numbers go on past what a hub has; plans fill to seven tenths; hubs of a site from which nothing is heard are not asked as former homes. Elections after 650 ms, hubs look for the next leader every 120 ms.

--- a/crates/cli/tests/fleet.rs
+++ b/crates/cli/tests/fleet.rs
@@ -348,3 +348,48 @@
     let entries = whole(&mut fleet);
     assert!(served(&entries) > 0.6, "{}", served(&entries));
 }
+
+/// The member that speaks for the service of purges is killed with a purge under way, and its disk falls back to what was
+/// synced: what was accepted is reached by the next one, under the same number, and the same wish is no second purge.
+#[test]
+fn purges_that_were_accepted_are_reached_by_the_next_leader() {
+    let _one = ONE.lock();
+    let mut fleet = launch(&Three { lasts_ms: 90_000, services: 3, purges: true, ..Three::default() });
+    all_report(&mut fleet);
+    for site in ["east", "west", "north"] {
+        let up =
+            fleet.wait_for(LONG, |e| e.site == site && e.by.starts_with("hub-") && e.says == "purges up");
+        assert!(up.is_some(), "hubs of {site} follow the purges");
+    }
+    let at: Vec<String> =
+        (1..=3).map(|n| fleet.address(&format!("@purges-{n}")).unwrap().to_string()).collect();
+    let purge = |args: &[&str]| -> (i32, String) {
+        let mut args: Vec<&str> = std::iter::once("purge").chain(args.iter().copied()).collect();
+        at.iter().for_each(|at| args.extend(["--purges", at.as_str()]));
+        harestage(&args)
+    };
+    let number =
+        |said: &str| serde_json::from_str::<serde_json::Value>(said).ok().and_then(|j| j["number"].as_u64());
+    let (code, said) = purge(&["submit", "--glob", "00*", "--key", "one", "--wait"]);
+    assert!(code == 0 && said.contains("reached"), "{said}");
+    let leader = fleet.wait_for(LONG, |e| e.by.starts_with("purges-") && e.says == "speaks").unwrap().by;
+    // A hub that is stopped holds the purge up until it is fenced, so that the leader dies in the middle of it.
+    fleet.act(&Act::Stop("hub-west-1".into()));
+    let (code, said) = purge(&["submit", "--glob", "01*", "--key", "two", "--json"]);
+    let two = number(&said).unwrap_or_else(|| panic!("{code}: {said}"));
+    fleet.kill_now(&leader);
+    let gone = fleet.timeline().now_ms();
+    let next = fleet.wait_for(LONG, |e| {
+        e.by.starts_with("purges-") && e.says == "takes up the service" && e.at_ms > gone
+    });
+    assert!(next.is_some_and(|e| e.by != leader && e.number("last").is_some_and(|n| n >= two as f64)));
+    let (code, said) = purge(&["submit", "--glob", "01*", "--key", "two", "--json"]);
+    assert_eq!(number(&said), Some(two), "{code}: {said}");
+    let (code, said) = purge(&["wait", &two.to_string()]);
+    assert!(code == 0 && said.contains("reached"), "{said}");
+    fleet.act(&Act::Wake("hub-west-1".into()));
+    fleet.start_now(&leader);
+    let (code, said) = purge(&["submit", "--glob", "02*", "--key", "three", "--wait"]);
+    assert!(code == 0 && said.contains("reached"), "{said}");
+    whole(&mut fleet);
+}
--- a/crates/group/src/seat.rs
+++ b/crates/group/src/seat.rs
@@ -20,11 +20,11 @@
 /// To be called as often.
 pub const TICK: Span = Span::millis(50);
 /// Ticks without a word of the leader after which another is chosen, at least; up to twice as many by chance.
-const ELECTION_TICKS: usize = 16;
+const ELECTION_TICKS: usize = 13;
 const HEARTBEAT_TICKS: usize = 2;
 /// For how long a leader may speak after it asked what most have answered. The others wait for at least
 /// `ELECTION_TICKS`; clocks of members may run apart by the rest.
-pub const LEASE: Span = Span::millis(600);
+pub const LEASE: Span = Span::millis(500);
 /// A leader asks so often.
 const ASKS_EVERY: Span = Span::millis(100);
 /// Entries after which the log is written whole.
--- a/crates/hub/src/desk.rs
+++ b/crates/hub/src/desk.rs
@@ -677,9 +677,8 @@
             true => Right::Own,
             false => {
                 let fenced = self.fenced.iter().filter_map(|name| shape.find(name));
-                let mut asked: Vec<PlaceIx> = fill.asked.iter().copied().chain(fenced).collect();
-                asked.extend(silent);
-                self.shield.right(&self.versions, me, key, &asked, now)
+                let asked: Vec<PlaceIx> = fill.asked.iter().copied().chain(fenced).collect();
+                self.shield.right(&self.versions, me, key, &asked, &silent, now)
             }
         };
         self.knots.waits(key, None, now);
@@ -1031,7 +1030,7 @@
 
     /// For the control service, some times a second.
     pub fn report(&mut self, now: Moment) -> Report {
-        let (wants, part) = self.share.ask(now);
+        let ((wants, part), holds) = (self.share.ask(now), self.share.holds(now));
         let (slowness, archive_slowness) = (self.lasted.slowness(now), self.fetched.slowness(now));
         let (fetches, asked) = (self.fetches.count(now), self.asked.count(now));
         let loops = std::mem::take(&mut self.loops);
@@ -1044,6 +1043,7 @@
             fetches,
             wants,
             part,
+            holds,
             loops,
             site,
             sightings,
--- a/crates/hub/src/start.rs
+++ b/crates/hub/src/start.rs
@@ -213,7 +213,7 @@
             line_bytes: 8 << 20,
             report_every: Duration::from_millis(200),
             control_silence: Duration::from_secs(3),
-            control_pause: Duration::from_millis(250),
+            control_pause: Duration::from_millis(120),
         }
     }
 }
--- a/crates/shape/src/control.rs
+++ b/crates/shape/src/control.rs
@@ -200,6 +200,9 @@
     pub fetches: f64,
     pub wants: f64,
     pub part: u64,
+    /// Fetches a second that it may begin by that part, as long as it lasts.
+    #[serde(default)]
+    pub holds: f64,
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub loops: Vec<LoopSeen>,
     /// Where it is, and what it sees of other sites.
@@ -272,8 +275,7 @@
             effects.push(control.record(Entry::Shape(Box::new(control.shape.form()))));
         }
         control.recall(&journal, now);
-        let hubs: Vec<String> = control.shape.hubs().map(|(_, hub)| hub.name.clone()).collect();
-        control.sharing.begin_after(hubs.into_iter(), now);
+        control.sharing.begin_after(now);
         effects.push(Effect::Publish(control.shape.version()));
         Ok((control, effects))
     }
@@ -405,7 +407,7 @@
         // Who is at no top needs no part: it asks other hubs only.
         let at_top = self.shape.find(hub).is_some_and(|at| self.shape.tops().contains(&at));
         let most = self.shape.tops().len();
-        let part = at_top.then(|| self.sharing.ask(hub, report.wants, report.part, most, now));
+        let part = at_top.then(|| self.sharing.ask(hub, report.wants, report.part, report.holds, most, now));
         (part, effects)
     }
 
--- a/crates/shape/src/parts.rs
+++ b/crates/shape/src/parts.rs
@@ -18,6 +18,8 @@
 const GIVEN_OUT: f64 = 0.6;
 /// Of the stopping point, what all floors together come to.
 const FLOORS: f64 = 0.15;
+/// Numbers of parts past it are no numbers.
+const LAST_NUMBER: u64 = 1 << 62;
 /// A hub that asked for little gets this much more than it asked, so that its want can grow.
 const HEADROOM: f64 = 1.5;
 const LEAST_WANT: f64 = 1.0;
@@ -54,11 +56,13 @@
     stopping: f64,
     members: BTreeMap<String, Member>,
     number: u64,
+    /// Until when parts of a forerunner may be in use, and how much of them no hub has spoken for.
+    forerunner: Option<(Moment, f64)>,
 }
 
 impl Sharing {
     pub fn new(stopping: f64) -> Sharing {
-        Sharing { stopping, members: BTreeMap::new(), number: 0 }
+        Sharing { stopping, members: BTreeMap::new(), number: 0, forerunner: None }
     }
 
     /// The archive's figures have changed. What was given out stays until its term ends.
@@ -66,32 +70,38 @@
         self.stopping = stopping;
     }
 
-    /// After a start the service does not know what its forerunner gave out: nothing is free until that has ended.
-    pub fn begin_after(&mut self, members: impl Iterator<Item = String>, now: Moment) {
-        let until = now + TERM;
-        let names: Vec<String> = members.collect();
-        let rate = self.stopping * GIVEN_OUT / names.len().max(1) as f64;
-        for name in names {
-            let given = vec![Given { rate, until, number: u64::MAX }];
-            self.members.insert(name, Member { wants: 0.0, heard: now, given });
-        }
+    /// After a start the service does not know what its forerunner gave out: the whole is taken for given out until that
+    /// has ended. A hub that says what it holds of it may go on with that at once, since it was part of the whole.
+    pub fn begin_after(&mut self, now: Moment) {
+        self.forerunner = Some((now + TERM, self.stopping * GIVEN_OUT));
     }
 
-    /// A hub says what it would use, in fetches a second, and which part it has taken in, and gets its part. `most`
-    /// is how many hubs may be at the top, for their floors.
-    pub fn ask(&mut self, hub: &str, wants: f64, taken: u64, most: usize, now: Moment) -> Part {
+    /// A hub says what it would use, in fetches a second, which part it has taken in, and what rate it holds by it, and
+    /// gets its part. `most` is how many hubs may be at the top, for their floors.
+    pub fn ask(&mut self, hub: &str, wants: f64, taken: u64, holds: f64, most: usize, now: Moment) -> Part {
         self.tidy(now);
+        let taken = taken.min(LAST_NUMBER);
+        if !self.members.contains_key(hub)
+            && let Some((until, rest)) = &mut self.forerunner
+        {
+            let rate = if holds.is_finite() { holds.clamp(0.0, *rest) } else { 0.0 };
+            *rest -= rate;
+            let given = vec![Given { rate, until: *until, number: taken }];
+            self.members.insert(hub.into(), Member { given, ..Member::default() });
+        }
         let member = self.members.entry(hub.into()).or_default();
         member.wants = if wants.is_finite() { wants.max(0.0) } else { 0.0 };
         member.heard = now;
         // An answer may have been lost, and the part before it still be in use: only what the hub has taken in since
-        // proves that an older one is not. What a forerunner gave out has no number, and ends with its term.
+        // proves that an older one is not.
         member.given.retain(|given| given.number >= taken);
         let fair = self.fair(hub);
         let others: f64 = self.members.iter().filter(|(name, _)| *name != hub).map(|(_, m)| m.in_use()).sum();
-        let free = (self.stopping * GIVEN_OUT - others).max(0.0);
+        let unknown = self.forerunner.map_or(0.0, |(_, rest)| rest);
+        let free = (self.stopping * GIVEN_OUT - others - unknown).max(0.0);
         let rate = fair.min(free);
-        self.number += 1;
+        // Also past what a forerunner counted to: a hub passes by what is older than what it has.
+        self.number = self.number.max(taken) + 1;
         let floor = self.stopping * FLOORS / most.max(1) as f64;
         if let Some(member) = self.members.get_mut(hub) {
             member.given.push(Given { rate, until: now + TERM, number: self.number });
@@ -118,6 +128,7 @@
     }
 
     fn tidy(&mut self, now: Moment) {
+        self.forerunner = self.forerunner.filter(|(until, _)| *until > now);
         self.members.retain(|_, member| {
             member.given.retain(|given| given.until > now);
             !member.given.is_empty() || now.since(member.heard) < TERM
@@ -130,7 +141,8 @@
             given: m.given.iter().filter(|g| g.until > now).copied().collect(),
             ..m.clone()
         };
-        self.members.values().map(|m| alive(m).in_use()).sum()
+        let unknown = self.forerunner.filter(|(until, _)| *until > now).map_or(0.0, |(_, rest)| rest);
+        self.members.values().map(|m| alive(m).in_use()).sum::<f64>() + unknown
     }
 
     pub fn whole(&self) -> f64 {
@@ -185,6 +197,11 @@
         (wants, self.part.number)
     }
 
+    /// Fetches a second that it may begin by its part, while that lasts.
+    pub fn holds(&self, now: Moment) -> f64 {
+        if now < self.until { self.part.rate } else { 0.0 }
+    }
+
     pub fn told(&mut self, part: Part, asked: Moment, now: Moment) {
         if part.number > self.part.number {
             self.fill(now);
--- a/crates/shape/src/shield.rs
+++ b/crates/shape/src/shield.rs
@@ -62,8 +62,17 @@
 }
 
 impl Shield {
-    /// May this hub fetch from the archive now? `asked` are the former homes that have answered, or failed to.
-    pub fn right(&self, versions: &Versions, me: PlaceIx, key: Key, asked: &[PlaceIx], now: Moment) -> Right {
+    /// May this hub fetch from the archive now? `asked` are the former homes that have answered, or failed to; `gone` are
+    /// those of whom nothing is heard at all: to ask them would cost a time-out each.
+    pub fn right(
+        &self,
+        versions: &Versions,
+        me: PlaceIx,
+        key: Key,
+        asked: &[PlaceIx],
+        gone: &[PlaceIx],
+        now: Moment,
+    ) -> Right {
         if let Some(ceded) = self.ceded.get(&key).filter(|ceded| ceded.until > now) {
             return Right::Ceded { until: ceded.until };
         }
@@ -72,7 +81,8 @@
         }
         // Also one that the newest version no longer names: it may hold the object, or be fetching it, all the same.
         let before = versions.lately(now, HANDOVER).filter_map(|shape| route::home(shape, key.0));
-        let mut before = before.filter(|place| *place != me && !asked.contains(place));
+        let mut before =
+            before.filter(|place| *place != me && !asked.contains(place) && !gone.contains(place));
         before.next().map_or(Right::Own, Right::Ask)
     }
 
--- a/crates/sites/src/plan.rs
+++ b/crates/sites/src/plan.rs
@@ -13,8 +13,9 @@
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap};
 
-/// Of what a hub can do at its age, what it is asked for at most while a site is away.
-pub const HUB_SHARE: f64 = 0.9;
+/// Of what a hub can do at its age, what it is asked for at most while a site is away: nearer to all of it, what waits in
+/// line makes answers late at every branch.
+pub const HUB_SHARE: f64 = 0.7;
 /// Of the archive's stopping point, what it is asked for at most.
 pub const ARCHIVE_SHARE: f64 = 0.8;
 /// Of what a link between two sites carries.
--- a/crates/sites/src/watch.rs
+++ b/crates/sites/src/watch.rs
@@ -16,7 +16,7 @@
 /// A witness that has not reported for as long says nothing any more.
 const STALE: Span = Span::millis(900);
 /// All this has to be seen for as long before it counts, so that a hiccup is none.
-const LASTS: Span = Span::millis(300);
+const LASTS: Span = Span::millis(200);
 /// Times the usual time at which a site is slow.
 const SLOW: f64 = 4.0;
 /// A site that came back is held for as long, twice as long with each loss that is remembered.
--- a/crates/standins/src/front.rs
+++ b/crates/standins/src/front.rs
@@ -33,6 +33,8 @@
     /// Until when it is busy with what came before.
     busy: Option<Instant>,
     peak: f64,
+    /// The same since somebody last asked for it.
+    lately: f64,
     fell: bool,
     streams: Vec<TcpStream>,
 }
@@ -74,6 +76,11 @@
         self.state.lock().expect("no holder panics").peak
     }
 
+    /// The worst since this was last asked for.
+    pub fn take_lately(&self) -> f64 {
+        std::mem::take(&mut self.state.lock().expect("no holder panics").lately)
+    }
+
     fn carry(self, near: TcpStream, far: TcpStream) {
         let (Ok(back_from), Ok(mut back_to)) = (far.try_clone(), near.try_clone()) else { return };
         let _ = (near.set_nodelay(true), far.set_nodelay(true));
@@ -120,6 +127,7 @@
         let budget = can * machine.falls_at * machine.falls_within.as_secs_f64();
         let share = state.asked.len() as f64 / budget;
         state.peak = state.peak.max(share);
+        state.lately = state.lately.max(share);
         // A single pull in a window is no pressure, however small the budget.
         if share > 1.0 && state.asked.len() > 3 {
             state.fell = true;
--- a/crates/standins/src/script.rs
+++ b/crates/standins/src/script.rs
@@ -135,7 +135,7 @@
             }
             archives.iter().zip(&mut told).for_each(|(archive, told)| tell(archive, told));
             for front in &fronts {
-                say("front", json!({"peak_share": front.peak_share(), "fell": front.has_fallen()}));
+                say("front", json!({"share": front.take_lately(), "fell": front.has_fallen()}));
             }
             std::thread::sleep(TELLS_EVERY);
         }
