--- a/crates/hub/src/desk.rs
+++ b/crates/hub/src/desk.rs
@@ -13,12 +13,15 @@
 use harestage_shape::parts::{Part, Share};
 use harestage_shape::route::{self, Next};
 use harestage_shape::shield::{ANSWERS_WITHIN, Reply, Right, Shield};
-use harestage_shape::tree::{ARCHIVE, PlaceIx, Shape, Versions};
+use harestage_shape::tree::{ARCHIVE, Place, PlaceIx, Shape, Versions, warmth};
+use harestage_sites::budget::Budget;
+use harestage_sites::ration::{self, Ration, Want};
 use harestage_sites::sight::Sight;
 use harestage_wire::fields::Hex;
 use harestage_wire::node::{Answer, Asked, CopyTag, Given, Word};
 use harestage_wire::peer::{Chase, Way};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::hash::{DefaultHasher, Hash, Hasher};
 
 pub type ConnNo = u64;
 pub type PullNo = u64;
@@ -26,6 +29,10 @@
 
 /// A fill that its source leaves without an answer for as long goes to the next, while there is time for that.
 const STALLED: Span = Span::millis(1_500);
+/// Of what it can do at its age, what a hub takes in a second; past it, what is worth least is refused.
+const TAKES: f64 = 0.9;
+/// Repeated attempts that each first one pays for.
+const REPEATS: f64 = 0.2;
 /// Questions to other sites that are remembered.
 const MOST_ASKS: u64 = 4_096;
 /// A source whose connection was refused, or broke, is passed by for as long.
@@ -290,6 +297,10 @@
     sight: Sight,
     /// Who is asked next at each other site.
     asked_next: usize,
+    /// What is refused first where not all fits, and how much is repeated. Both only for a hub that is at a site.
+    ration: Ration,
+    budget: Budget,
+    drawn: u64,
     /// Questions that are on their way, by the pull number that stands for them.
     asks: HashMap<PullNo, (String, u64)>,
     /// False: the way that others are measured against, in which a new home fetches without asking the old one.
@@ -327,6 +338,9 @@
             site: String::new(),
             sight: Sight::default(),
             asked_next: 0,
+            ration: Ration::new(now),
+            budget: Budget::new(REPEATS, now),
+            drawn: 0,
             asks: HashMap::new(),
             hands_over: true,
         };
@@ -470,6 +484,9 @@
         }
         let key = (asked.object.number(), asked.part);
         let keeping = self.contents.get(&asked.content).copied();
+        if !self.takes(conn, &asked, keeping, now) {
+            return self.refuse(conn, asked.id, Word::Full, Remark::NoPlace);
+        }
         let fresh = keeping.and_then(|k| k.fresh);
         let oldest = asked.oldest_ms.map(Span::millis).or(fresh);
         let good = self.good_copy(key, oldest, now);
@@ -498,6 +515,42 @@
         self.fill_for(conn, key, asked, oldest, now);
     }
 
+    /// Where more is asked than this hub can do, what is worth least is refused, at once and with the proof that it never
+    /// ran; each connection from below, a branch's cache, has a fair part where the line falls. Questions among homes pass.
+    fn takes(&mut self, conn: ConnNo, asked: &Asked, keeping: Option<Keeping>, now: Moment) -> bool {
+        if self.site.is_empty() || asked.way.as_ref().is_some_and(|way| way.hand_over) {
+            return true;
+        }
+        self.drawn += 1;
+        let mut hasher = DefaultHasher::new();
+        (&self.name, self.drawn).hash(&mut hasher);
+        let chance = (hasher.finish() >> 11) as f64 / (1u64 << 53) as f64;
+        let worth = keeping.map_or(1.0, |keeping| keeping.benefit);
+        let want = Want { worth, takes: 1.0, second_try: false, branch: conn as u32 };
+        self.ration.ask(&want, chance, now) == ration::Answer::Taken
+    }
+
+    /// What it can do at its age, by the newest version; none where no version names it.
+    fn room(&self, now: Moment) -> Option<f64> {
+        let shape = self.versions.newest()?;
+        let hub = shape.place(shape.find(&self.name)?).and_then(Place::hub)?;
+        let age = match hub.since_ms {
+            0 => Span::millis(hub.cold_ms),
+            since_ms => now.since(Moment::at_micros(since_ms.saturating_mul(1_000))),
+        };
+        Some(hub.capacity * warmth(hub, age) * TAKES)
+    }
+
+    /// Goes on after an attempt that failed, if that was paid for: tiers that each repeat everything would multiply a
+    /// loss, and the first to feel it are those who are left.
+    fn again(&mut self, key: Key, now: Moment) {
+        if self.site.is_empty() || self.budget.lets(now) {
+            self.advance(key, now);
+        } else {
+            self.fail(key, Remark::SourceLost);
+        }
+    }
+
     fn good_copy(&mut self, key: Key, oldest: Option<Span>, now: Moment) -> Option<Copy> {
         let copy = self.store.get(key)?;
         let good = oldest.is_none_or(|oldest| now.since(copy.dated) <= oldest);
@@ -560,6 +613,7 @@
     }
 
     fn begin(&mut self, key: Key, asked: &Asked, now: Moment) {
+        self.budget.first(now);
         let version = self.versions.pin().unwrap_or(0);
         let fill = Fill {
             content: asked.content.clone(),
@@ -802,11 +856,11 @@
             _ => {}
         }
         if asking {
-            fill.asked.push(on)
-        } else {
-            fill.avoid.push(on)
+            fill.asked.push(on);
+            return self.advance(key, now);
         }
-        self.advance(key, now);
+        fill.avoid.push(on);
+        self.again(key, now);
     }
 
     fn lost(&mut self, pull: PullNo, now: Moment) {
@@ -820,6 +874,7 @@
             Stage::Waiting { on, .. } => {
                 fill.avoid.push(on);
                 self.aside.insert(on, now + PASSED_BY);
+                return self.again(key, now);
             }
             Stage::Fetching { .. } => {
                 fill.again += 1;
@@ -942,6 +997,8 @@
             Bell::Beat => {
                 self.set(now + BEAT, Bell::Beat);
                 self.aside.retain(|_, until| *until > now);
+                let room = self.room(now);
+                self.ration.set_room(room);
                 for act in self.knots.beat(now) {
                     self.act(Some(act), now);
                 }
@@ -973,6 +1030,7 @@
             Stage::Waiting { pull, on } => {
                 fill.avoid.push(on);
                 self.cancel(pull);
+                return self.again(key, now);
             }
             Stage::Fetching { .. } => return,
             Stage::Resting => {}
--- a/crates/shape/src/control.rs
+++ b/crates/shape/src/control.rs
@@ -54,7 +54,7 @@
 }
 
 /// Where a site is on its way out of service and back; `harestage_sites` decides on it.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Standing {
     #[default]
--- a/crates/sites/src/direct.rs
+++ b/crates/sites/src/direct.rs
@@ -206,8 +206,12 @@
             return Vec::new();
         }
         let shape = plan.shape(&self.wanted, self.control.shape().version() + 1);
+        let cut_short = self.control.is_changing();
         let mut effects = self.control.jump(shape);
-        effects.push(self.sites_record());
+        match self.standings.ended(false).filter(|_| cut_short) {
+            Some(turned) => effects.extend(self.turn(turned, None, now)),
+            None => effects.push(self.sites_record()),
+        }
         effects
     }
 
