A member that joins can answer; hard cases of a lost site and the rig as tests on processes

Cause: a member that is started to join knows of no member, so that it kept no line to anyone: the leader's log came in and no answer went out, and the group never took it in (`dial_members` in crates/seats/src/net.rs). Found by the test that takes a lost member out and its next incarnation in; the state machine's own tests deliver answers by id and could not see it.

Change: a member says in its first line where it is reached, and one that knows nobody answers there until it is told who the members are.

--- a/crates/cli/tests/fleet.rs
+++ b/crates/cli/tests/fleet.rs
@@ -393,3 +393,267 @@
     assert!(code == 0 && said.contains("reached"), "{said}");
     whole(&mut fleet);
 }
+
+/// Half of a site's hubs are killed, then all of another site's are stopped for some seconds and woken with all their
+/// fills: neither is the loss of a site by itself, and nothing is lost over it.
+#[test]
+fn half_of_a_site_is_no_loss_and_hubs_that_were_stopped_go_on() {
+    let _one = ONE.lock();
+    let mut fleet = launch(&Three { lasts_ms: 90_000, services: 3, ..Three::default() });
+    all_report(&mut fleet);
+    fleet.kill_now("hub-west-2");
+    fleet.play_for(Duration::from_millis(3_000));
+    let lost = fleet.timeline().all().into_iter().find(|e| e.text("said").contains("\"is\":\"lost\""));
+    assert!(
+        lost.is_none(),
+        "one hub of west still answers: {}",
+        lost.map(|e| e.to_string()).unwrap_or_default()
+    );
+    fleet.start_now("hub-west-2");
+    for n in 1..=2 {
+        fleet.act(&Act::Stop(format!("hub-north-{n}")));
+    }
+    let stopped = fleet.timeline().now_ms();
+    assert!(fleet.wait_for(LONG, stands("north", "lost")).is_some_and(|e| e.at_ms > stopped));
+    for n in 1..=2 {
+        fleet.act(&Act::Wake(format!("hub-north-{n}")));
+    }
+    assert!(fleet.wait_for(LONG, stands("north", "held")).is_some());
+    assert!(fleet.wait_for(LONG, stands("north", "in_service")).is_some(), "it comes back in steps");
+    let entries = whole(&mut fleet);
+    assert!(served(&entries) > 0.6, "{}", served(&entries));
+}
+
+/// A site is lost in the middle of a change of the shape, and routers are started anew while their home is lost: the
+/// change ends where it stands, the loss goes first, and a fresh router learns the shape as it is now.
+#[test]
+fn a_loss_in_the_middle_of_a_change_goes_first_and_fresh_routers_learn_of_it() {
+    let _one = ONE.lock();
+    let three = Three { lasts_ms: 90_000, services: 3, ..Three::default() };
+    let mut fleet = launch(&three);
+    all_report(&mut fleet);
+    let at = fleet.address("@control-1").unwrap().to_string();
+    let others: Vec<String> =
+        (2..=3).map(|n| fleet.address(&format!("@control-{n}")).unwrap().to_string()).collect();
+    let with = |args: &[&str]| -> (i32, String) {
+        let mut args: Vec<&str> = args.to_vec();
+        args.extend(["--control", at.as_str()]);
+        others.iter().for_each(|at| args.extend(["--control", at.as_str()]));
+        harestage(&args)
+    };
+    // An evacuation is a change of several steps; west dies under it.
+    assert_eq!(with(&["site", "leave", "north"]).0, 0);
+    let out = fleet.wait_for(LONG, |e| e.says == "change" && e.text("said").contains("step_out"));
+    assert!(out.is_some(), "a step of it is out");
+    let leader =
+        fleet.timeline().all().into_iter().rfind(|e| e.says == "speaks").map(|e| e.site).unwrap_or_default();
+    let dies = if leader == "west" { "east" } else { "west" };
+    fleet.kill_now(dies);
+    assert!(fleet.wait_for(LONG, stands(dies, "lost")).is_some());
+    assert!(fleet.wait_for(LONG, stands("north", "in_service")).is_some(), "what carries the rest stays");
+    fleet.kill_now("router-west-1");
+    fleet.start_now("router-west-1");
+    let up = fleet.timeline().now_ms();
+    assert!(
+        fleet
+            .wait_for(LONG, |e| e.by == "router-west-1" && e.says.starts_with("ready") && e.at_ms > up)
+            .is_some()
+    );
+    fleet.play_for(Duration::from_millis(3_000));
+    let entries = fleet.timeline().all();
+    let late: Vec<&Entry> = entries
+        .iter()
+        .filter(|e| e.by == "crowd-west" && e.says == "crowd" && e.at_ms > up + 1_500.0)
+        .collect();
+    let served: f64 = late.iter().filter_map(|e| Some(e.number("in_time")? + e.number("late")?)).sum();
+    assert!(served > 0.0, "the fresh router serves from those who are left");
+    whole(&mut fleet);
+}
+
+/// A member whose disk takes nothing more ends, and tells nobody what it could not write; the others go on.
+#[test]
+fn a_member_whose_disk_is_full_ends_and_the_others_go_on() {
+    let _one = ONE.lock();
+    let mut fleet = launch(&Three { lasts_ms: 90_000, services: 3, ..Three::default() });
+    all_report(&mut fleet);
+    let leader =
+        fleet.timeline().all().into_iter().rfind(|e| e.says == "speaks").map(|e| e.by).unwrap_or_default();
+    fleet.act(&Act::FillDisk(leader.clone()));
+    let full = fleet.timeline().now_ms();
+    let at: Vec<String> =
+        (1..=3).map(|n| fleet.address(&format!("@control-{n}")).unwrap().to_string()).collect();
+    // Something has to be written down for it to notice.
+    let mut args = vec!["site", "leave", "west"];
+    at.iter().for_each(|at| args.extend(["--control", at.as_str()]));
+    let _ = harestage(&args);
+    let ended = fleet.wait_for(LONG, |e| e.says == "ended" && e.text("process") == leader && e.at_ms > full);
+    assert_eq!(ended.map(|e| e.text("how").to_string()), Some("exit code 1".into()));
+    let next = fleet.wait_for(LONG, |e| e.says == "speaks" && e.by != leader && e.at_ms > full);
+    assert!(next.is_some(), "another speaks");
+    let entries = fleet.timeline().all();
+    let told = entries.iter().find(|e| e.by == leader && e.at_ms > full && e.says == "published");
+    assert!(
+        told.is_none(),
+        "nobody hears what it could not write: {}",
+        told.map(|e| e.to_string()).unwrap_or_default()
+    );
+}
+
+/// A rig that is killed leaves nothing behind: its minder ends all that it started, and nothing else.
+#[test]
+fn a_rig_that_is_killed_leaves_no_process_behind() {
+    let _one = ONE.lock();
+    let scenario = Three { lasts_ms: 60_000, ..Three::default() }.scenario();
+    let file = std::env::temp_dir().join(format!("harestage-drill-{}.json", std::process::id()));
+    std::fs::write(&file, serde_json::to_string(&scenario).unwrap()).unwrap();
+    let mut rig = std::process::Command::new(env!("CARGO_BIN_EXE_harestage"))
+        .args(["drill", &file.display().to_string()])
+        .stdout(std::process::Stdio::null())
+        .spawn()
+        .unwrap();
+    let children = |of: u32| -> Vec<u32> {
+        let tasks = std::fs::read_to_string(format!("/proc/{of}/task/{of}/children")).unwrap_or_default();
+        tasks.split_ascii_whitespace().filter_map(|id| id.parse().ok()).collect()
+    };
+    let until = std::time::Instant::now() + LONG;
+    while children(rig.id()).len() < 15 {
+        assert!(std::time::Instant::now() < until, "{} processes", children(rig.id()).len());
+        std::thread::sleep(Duration::from_millis(50));
+    }
+    let started = children(rig.id());
+    rig.kill().unwrap();
+    rig.wait().unwrap();
+    let runs = |id: &u32| {
+        let stat = std::fs::read_to_string(format!("/proc/{id}/stat")).unwrap_or_default();
+        stat.rfind(')').is_some_and(|at| !stat[at..].starts_with(") Z"))
+    };
+    while started.iter().any(runs) {
+        assert!(
+            std::time::Instant::now() < until,
+            "still there: {:?}",
+            started.iter().filter(|id| runs(id)).count()
+        );
+        std::thread::sleep(Duration::from_millis(50));
+    }
+    let _ = std::fs::remove_file(file);
+}
+
+/// What can't be played is refused in one line that names file, key and value, and nothing is started.
+#[test]
+fn a_scenario_that_can_not_be_is_refused_in_one_line() {
+    let good = serde_json::to_value(Three::default().scenario()).unwrap();
+    let file = std::env::temp_dir().join(format!("harestage-scenario-{}.json", std::process::id()));
+    let path = file.display().to_string();
+    let refused = |json: &serde_json::Value| {
+        std::fs::write(&file, json.to_string()).unwrap();
+        harestage(&["drill", "--check", &path])
+    };
+    assert_eq!(refused(&good).0, 0);
+    let wrong = |change: &dyn Fn(&mut serde_json::Value)| {
+        let mut json = good.clone();
+        change(&mut json);
+        refused(&json)
+    };
+    type Change<'a> = &'a dyn Fn(&mut serde_json::Value);
+    let cases: [(&str, Change); 6] = [
+        ("lasts_ms: 0", &|j| j["lasts_ms"] = 0.into()),
+        ("processes[1].site: \"mars\"", &|j| j["processes"][1]["site"] = "mars".into()),
+        ("processes[2].name", &|j| j["processes"][2]["name"] = "archive".into()),
+        ("names no process", &|j| j["processes"][0]["words"] = serde_json::json!(["@nobody"])),
+        ("faults[0].do", &|j| {
+            j["faults"] = serde_json::json!([{"when": {"at_ms": 1}, "do": {"kill": "mars"}}])
+        }),
+        ("could not fail", &|j| j["expects"] = serde_json::json!([{"that": "x", "of": {"lines": {}}}])),
+    ];
+    for (says, change) in cases {
+        let (code, said) = wrong(change);
+        assert!(
+            code == 1 && said.lines().count() == 1 && said.contains(says) && said.contains(&path),
+            "{says}: {said}"
+        );
+    }
+    let _ = std::fs::remove_file(&file);
+}
+
+struct Started(std::process::Child);
+
+impl Drop for Started {
+    fn drop(&mut self) {
+        let _ = (self.0.kill(), self.0.wait());
+    }
+}
+
+/// Staff takes a member out whose disk is gone, and takes it in again as a new one: it is sent everything, and counts.
+#[test]
+fn staff_takes_a_lost_member_out_and_its_next_incarnation_in() {
+    let _one = ONE.lock();
+    let mut fleet = launch(&Three { lasts_ms: 90_000, services: 3, ..Three::default() });
+    all_report(&mut fleet);
+    let leader =
+        fleet.timeline().all().into_iter().rfind(|e| e.says == "speaks").map(|e| e.by).unwrap_or_default();
+    let names = ["control-1", "control-2", "control-3"];
+    let lost = names.into_iter().find(|name| *name != leader).unwrap();
+    let left: Vec<String> = names
+        .into_iter()
+        .filter(|name| *name != lost)
+        .map(|name| fleet.address(&format!("@{name}")).unwrap().to_string())
+        .collect();
+    let with = |args: &[&str]| -> (i32, String) {
+        let mut args: Vec<&str> = args.to_vec();
+        left.iter().for_each(|at| args.extend(["--service", at.as_str()]));
+        harestage(&args)
+    };
+    fleet.kill_now(lost);
+    let (code, said) = with(&["group", "remove", lost]);
+    assert_eq!(code, 0, "{said}");
+    let members = |fleet: &mut Fleet, many: usize| {
+        let until = std::time::Instant::now() + LONG;
+        loop {
+            let (_, said) = with(&["group", "status", "--json"]);
+            let json: serde_json::Value =
+                serde_json::from_str(said.split("harestage:").next().unwrap_or_default()).unwrap_or_default();
+            let seen = json.as_array().into_iter().flatten().find(|s| s["may_speak"] == true).cloned();
+            if let Some(seen) = seen.filter(|s| s["members"].as_array().map(Vec::len) == Some(many)) {
+                return seen;
+            }
+            assert!(std::time::Instant::now() < until, "{many} members: {said}");
+            fleet.play_for(Duration::from_millis(100));
+        }
+    };
+    members(&mut fleet, 2);
+    let own = |text: &str| fleet.address(text).unwrap().to_string();
+    let (listen, group_listen) = (own(&format!("!{lost}")), own(&format!("!{lost}/group")));
+    let (at, serves) = (own(&format!("@{lost}/group")), own(&format!("@{lost}")));
+    let folder = std::env::temp_dir().join(format!("harestage-join-{}", std::process::id()));
+    let journal = folder.display().to_string();
+    let joins =
+        ["control", "--listen", &listen, "--journal", &journal, "--member", lost, "--incarnation", "1"];
+    let joiner = std::process::Command::new(env!("CARGO_BIN_EXE_harestage"))
+        .args(joins)
+        .args(["--join", "--group-listen", &group_listen])
+        .stderr(std::process::Stdio::null())
+        .spawn()
+        .unwrap();
+    let _joiner = Started(joiner);
+    let named = format!("{lost}=west");
+    let (code, said) =
+        with(&["group", "add", &named, "--incarnation", "1", "--at", &at, "--serves", &serves]);
+    assert_eq!(code, 0, "{said}");
+    let seen = members(&mut fleet, 3);
+    let agreed = seen["agreed"].as_u64().unwrap_or(0);
+    let until = std::time::Instant::now() + LONG;
+    loop {
+        let (_, said) = harestage(&["group", "status", "--json", "--service", &serves]);
+        let json: serde_json::Value = serde_json::from_str(&said).unwrap_or_default();
+        if json[0]["agreed"].as_u64().is_some_and(|its| its >= agreed) && json[0]["leader"] == leader.as_str()
+        {
+            break;
+        }
+        assert!(std::time::Instant::now() < until, "it follows: {said}");
+        fleet.play_for(Duration::from_millis(100));
+    }
+    let (code, said) =
+        with(&["group", "add", &named, "--incarnation", "1", "--at", &at, "--serves", &serves]);
+    assert!(code == 1 && said.contains("is a member already"), "{said}");
+    let _ = std::fs::remove_dir_all(folder);
+}
--- a/crates/seats/src/lib.rs
+++ b/crates/seats/src/lib.rs
@@ -68,6 +68,9 @@
     Broken,
 }
 
+/// Callers that a member that joins remembers.
+const MOST_CALLERS: usize = 16;
+
 pub struct Council {
     seat: RefCell<Seat>,
     disk: RefCell<Log<Folder>>,
@@ -78,6 +81,9 @@
     name: String,
     broken: Cell<bool>,
     spoke: Cell<bool>,
+    /// Where it listens for other members, and who has called while it knew of no member: a group that takes it in.
+    listen: Option<SocketAddr>,
+    callers: RefCell<BTreeMap<u64, SocketAddr>>,
     /// The members, or what was agreed on, may have changed.
     changed: event_listener::Event,
 }
@@ -113,6 +119,8 @@
             name: start.name.clone(),
             broken: Cell::new(false),
             spoke: Cell::new(false),
+            listen: start.listen,
+            callers: RefCell::default(),
             changed: event_listener::Event::new(),
         };
         if opened.was_old {
@@ -322,6 +330,42 @@
         }
     }
 
+    /// Everyone to whom it keeps a line: the members but itself; and as long as it knows of none, those who called.
+    fn others(&self) -> Vec<net::Other> {
+        let seat = self.seat.borrow();
+        let other = |member: &Member| net::Other {
+            id: member.id(),
+            name: member.name.clone(),
+            at: member.at.clone(),
+        };
+        let others: Vec<net::Other> = seat.members().filter(|m| m.id() != seat.id()).map(other).collect();
+        if seat.members().next().is_some() {
+            self.callers.borrow_mut().clear();
+            return others;
+        }
+        let caller = |(id, at): (&u64, &SocketAddr)| net::Other {
+            id: *id,
+            name: format!("{id:016x}"),
+            at: at.to_string(),
+        };
+        self.callers.borrow().iter().map(caller).collect()
+    }
+
+    fn is_called_by(&self, id: u64, at: SocketAddr) {
+        let mut callers = self.callers.borrow_mut();
+        let knows_nobody = self.seat.borrow().members().next().is_none();
+        if knows_nobody && callers.len() < MOST_CALLERS && callers.insert(id, at) != Some(at) {
+            self.changed.notify(usize::MAX);
+        }
+    }
+
+    /// Where others reach this member, as they know it; else where it listens.
+    fn own_place(&self) -> String {
+        let seat = self.seat.borrow();
+        let listed = seat.member(seat.id()).map(|member| member.at.clone());
+        listed.or(self.listen.map(|at| at.to_string())).unwrap_or_default()
+    }
+
     /// Waits for a change of members, or so long.
     async fn changed(&self, at_most: Duration) {
         let changed = self.changed.listen();
--- a/crates/seats/src/net.rs
+++ b/crates/seats/src/net.rs
@@ -4,7 +4,6 @@
 use async_io::{Async, Timer};
 use event_listener::Event;
 use futures_lite::{AsyncReadExt, AsyncWriteExt};
-use harestage_group::Member;
 use harestage_sockets::accept::{Open, accept};
 use harestage_sockets::lines::{within, write_text};
 use harestage_sockets::{Spawner, Stream};
@@ -90,15 +89,17 @@
     Ok(())
 }
 
-/// `MEMBER FROM DISK TO` and a line end; all three are numbers in hex.
-fn hello(from: u64, disk: u64, to: u64) -> String {
-    format!("MEMBER {from:016x} {disk:016x} {to:016x}\n")
+/// `MEMBER FROM DISK TO AT` and a line end: three numbers in hex, and where the one who says it is reached, so that a member
+/// that knows nobody yet can answer.
+fn hello(from: u64, disk: u64, to: u64, at: &str) -> String {
+    format!("MEMBER {from:016x} {disk:016x} {to:016x} {at}\n")
 }
 
-fn read_hello(line: &str) -> Option<(u64, u64, u64)> {
+fn read_hello(line: &str) -> Option<(u64, u64, u64, SocketAddr)> {
     let mut words = line.trim_end().strip_prefix("MEMBER ")?.split(' ');
     let mut number = || u64::from_str_radix(words.next()?, 16).ok();
-    Some((number()?, number()?, number()?))
+    let (from, disk, to) = (number()?, number()?, number()?);
+    Some((from, disk, to, words.next()?.parse().ok()?))
 }
 
 async fn read_line(mut stream: &Stream) -> Result<String, String> {
@@ -115,7 +116,7 @@
 
 async fn hear_member(council: &Council, stream: &Stream, hear: &dyn Fn(News)) -> Result<(), String> {
     let line = within(STALL, "no hello in time", read_line(stream)).await?;
-    let (from, disk, to) = read_hello(&line).ok_or("an unreadable hello")?;
+    let (from, disk, to, at) = read_hello(&line).ok_or("an unreadable hello")?;
     let (me, own) = (council.seat.borrow().id(), council.seat.borrow().disk());
     if to != me {
         write_text(stream, b"NOT ME\n", STALL).await?;
@@ -128,6 +129,7 @@
         return Err("a member on another disk than before".into());
     }
     write_text(stream, format!("DISK {own:016x}\n").as_bytes(), STALL).await?;
+    council.is_called_by(from, at);
     loop {
         let frame = within(SILENT, "silent", read_frame(stream)).await?;
         if frame.is_empty() {
@@ -165,29 +167,34 @@
 pub(crate) async fn dial_members(council: Rc<Council>, spawner: Spawner, hear: Rc<dyn Fn(News)>) {
     let mut dialling: BTreeMap<u64, async_executor::Task<()>> = BTreeMap::new();
     loop {
-        let me = council.seat.borrow().id();
-        let members: Vec<Member> =
-            council.seat.borrow().members().filter(|m| m.id() != me).cloned().collect();
-        dialling.retain(|id, _| members.iter().any(|m| m.id() == *id));
+        let others = council.others();
+        dialling.retain(|id, _| others.iter().any(|other| other.id == *id));
         council.posts.borrow_mut().retain(|id, _| dialling.contains_key(id));
-        for member in members {
-            let id = member.id();
-            dialling.entry(id).or_insert_with(|| {
+        for other in others {
+            dialling.entry(other.id).or_insert_with(|| {
                 let post = Rc::new(Post::new());
-                council.posts.borrow_mut().insert(id, post.clone());
-                spawner.spawn_held(dial(council.clone(), member, post, hear.clone()))
+                council.posts.borrow_mut().insert(other.id, post.clone());
+                spawner.spawn_held(dial(council.clone(), other, post, hear.clone()))
             });
         }
         council.changed(LOOK).await;
     }
 }
 
-async fn dial(council: Rc<Council>, member: Member, post: Rc<Post>, hear: Rc<dyn Fn(News)>) {
+/// Somebody to be dialled.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) struct Other {
+    pub id: u64,
+    pub name: String,
+    pub at: String,
+}
+
+async fn dial(council: Rc<Council>, other: Other, post: Rc<Post>, hear: Rc<dyn Fn(News)>) {
     let mut down = false;
     loop {
-        let why = match stay(&council, &member, &post, &mut down).await {
+        let why = match stay(&council, &other, &post, &mut down).await {
             Err(Why::NotYou) => {
-                warn!(council.log, "refused by a member that knows another disk of this one"; "by" => &member.name);
+                warn!(council.log, "refused by a member that knows another disk of this one"; "by" => &other.name);
                 council.end();
                 council.hand_out(&*hear);
                 return;
@@ -196,9 +203,9 @@
             Ok(()) => return,
         };
         if !std::mem::replace(&mut down, true) {
-            info!(council.log, "member not reached"; "member" => &member.name, "why" => why, "name" => &council.name);
+            info!(council.log, "member not reached"; "member" => &other.name, "why" => why, "name" => &council.name);
         }
-        council.seat.borrow_mut().unreachable(member.id());
+        council.seat.borrow_mut().unreachable(other.id);
         post.clear();
         Timer::after(PAUSE).await;
     }
@@ -216,25 +223,25 @@
     }
 }
 
-async fn stay(council: &Council, member: &Member, post: &Post, down: &mut bool) -> Result<(), Why> {
-    let at: SocketAddr = member.at.parse().map_err(|_| format!("{:?} is no address", member.at))?;
+async fn stay(council: &Council, other: &Other, post: &Post, down: &mut bool) -> Result<(), Why> {
+    let at: SocketAddr = other.at.parse().map_err(|_| format!("{:?} is no address", other.at))?;
     let (me, disk) = (council.seat.borrow().id(), council.seat.borrow().disk());
     let stream = within(CONNECT, "not up in time", async {
         Async::<TcpStream>::connect(at).await.map_err(|why| why.to_string())
     })
     .await?;
     let _ = stream.get_ref().set_nodelay(true);
-    write_text(&stream, hello(me, disk, member.id()).as_bytes(), CONNECT).await?;
+    write_text(&stream, hello(me, disk, other.id, &council.own_place()).as_bytes(), CONNECT).await?;
     let answer = within(STALL, "no answer to the hello", read_line(&stream)).await?;
     if answer == "NOT YOU\n" {
         return Err(Why::NotYou);
     }
     let number = answer.strip_prefix("DISK ").and_then(|n| u64::from_str_radix(n.trim_end(), 16).ok());
     let number = number.ok_or_else(|| "another member is there".to_string())?;
-    let met = council.seat.borrow_mut().meets(member.id(), number);
+    let met = council.seat.borrow_mut().meets(other.id, number);
     council.pump();
     if !met {
-        return Err(format!("{} is on another disk than before", member.name).into());
+        return Err(format!("{} is on another disk than before", other.name).into());
     }
     *down = false;
     let write = async {
