The test of bad clients does not hang on which answer comes first on a busy machine

Cause: 33 downloads on one connection; the 33rd is answered as abandoned by the client's reader, and some of the 32 may be throttled by the gate of the one cache that they wait at. Which comes first is a matter of the machine: on one with a build beside it the clean checkout's run failed there (`24 NAK` before `33 FAIL`).

Change: throttled ones are passed over; anything else before the 33rd still fails.

--- a/crates/router/tests/sockets.rs
+++ b/crates/router/tests/sockets.rs
@@ -416,7 +416,9 @@
     assert_eq!(odd.fetch(6, "clip", 6, "").0, "ACK");
     let mut many = bed.client();
     (1..=33).for_each(|tag| many.ask(tag, "clip", 1, 3_000, ""));
-    assert_eq!(many.next().unwrap()[..2], ["33", "FAIL"]);
+    // Of the others some may be throttled before it, as many as wait at one cache.
+    let told = std::iter::from_fn(|| many.next()).find(|items| items[1] != "NAK");
+    assert_eq!(told.unwrap()[..2], ["33", "FAIL"]);
 }
 
 /// Guards the descriptors against clients that keep connections for nothing. What is under way stays.
