Both services wait for what is agreed on by one queue of effects

Need: the control service and the service of purges held effects back behind their records by the same code, written twice.

--- a/crates/control/src/serve.rs
+++ b/crates/control/src/serve.rs
@@ -7,7 +7,7 @@
 use async_io::{Async, Timer};
 use event_listener::Event;
 use futures_lite::future::or;
-use harestage_seats::{Council, CouncilStart, News};
+use harestage_seats::{Council, CouncilStart, News, Waiting};
 use harestage_shape::control::{Control, Effect, Said, Standing};
 use harestage_shape::form::ShapeForm;
 use harestage_shape::lines::{self, Answer, Call, FromMember, ToMember};
@@ -47,7 +47,7 @@
     /// The shape to begin with, where nothing was agreed on yet.
     first: Option<ShapeForm>,
     /// What waits for the group to agree on the record at its head.
-    waiting: RefCell<VecDeque<Effect>>,
+    waiting: Waiting<Effect>,
     /// The newest version that may be told.
     told: Cell<u64>,
     clock: Clock,
@@ -108,7 +108,7 @@
             council,
             director: RefCell::new(None),
             first: first.cloned(),
-            waiting: RefCell::default(),
+            waiting: Waiting::default(),
             told: Cell::new(0),
             clock,
             log,
@@ -154,13 +154,8 @@
     fn hear_news(&self, news: News) {
         match news {
             News::Agreed(agreed) => {
-                // Of this member's own records the first is the one that waits; others' are in the data.
-                let mut waiting = self.waiting.borrow_mut();
-                if matches!(waiting.front(), Some(Effect::Write(own)) if journal::bytes(own) == agreed.data) {
-                    waiting.pop_front();
-                    drop(waiting);
-                    self.release();
-                }
+                self.waiting.agreed(&agreed.data);
+                self.release();
             }
             News::Leads => self.take_up(),
             News::SteppedDown | News::Replaced => self.lay_down(),
@@ -191,7 +186,7 @@
 
     fn lay_down(&self) {
         *self.director.borrow_mut() = None;
-        self.waiting.borrow_mut().clear();
+        self.waiting.clear();
         self.told.set(0);
         self.news.notify(usize::MAX);
     }
@@ -199,15 +194,19 @@
     /// Carries effects out in their order, each once the records before it are agreed on.
     fn carry_out(&self, effects: Vec<Effect>) {
         for effect in effects {
-            let record =
-                if let Effect::Write(record) = &effect { Some(journal::bytes(record)) } else { None };
-            self.waiting.borrow_mut().push_back(effect);
-            if let Some(record) = record
-                && self.council.propose(record).is_err()
-            {
-                return self.lay_down();
+            match effect {
+                Effect::Write(record) => {
+                    let record = journal::bytes(&record);
+                    self.waiting.behind(record.clone());
+                    if self.council.want(record).is_err() {
+                        return self.lay_down();
+                    }
+                }
+                effect => self.waiting.push(effect),
             }
         }
+        // All that came within this turn goes to disk with one sync.
+        self.council.pump();
         while let Some(news) = self.council.take_news() {
             self.hear_news(news);
         }
@@ -216,15 +215,8 @@
 
     /// What waits for nothing any more.
     fn release(&self) {
-        loop {
-            let next = {
-                let mut waiting = self.waiting.borrow_mut();
-                match waiting.front() {
-                    None | Some(Effect::Write(_)) => return,
-                    Some(_) => waiting.pop_front(),
-                }
-            };
-            next.into_iter().for_each(|effect| self.tell_of(effect));
+        while let Some(effect) = self.waiting.next() {
+            self.tell_of(effect);
         }
     }
 
--- a/crates/purger/src/lib.rs
+++ b/crates/purger/src/lib.rs
@@ -12,7 +12,7 @@
 use harestage_purge::order::{Entry, Item, Limit};
 use harestage_purge::promise::Report;
 use harestage_purge::service::{Effect, Service};
-use harestage_seats::{Council, CouncilStart, News};
+use harestage_seats::{Council, CouncilStart, News, Waiting};
 use harestage_sockets::accept::{Open, accept};
 use harestage_sockets::clock::Clock;
 use harestage_sockets::lines::{Lines, within, write_text};
@@ -46,7 +46,7 @@
     /// None: this member does not lead.
     service: RefCell<Option<Service>>,
     /// What waits for the group to agree on the entry at its head.
-    waiting: RefCell<VecDeque<Effect>>,
+    waiting: Waiting<Effect>,
     clock: Clock,
     logger: Logger,
     name: String,
@@ -109,7 +109,7 @@
         let keeper = Keeper {
             council,
             service: RefCell::new(None),
-            waiting: RefCell::default(),
+            waiting: Waiting::default(),
             clock,
             logger,
             name: start.name.clone(),
@@ -146,12 +146,8 @@
     fn hear_news(&self, news: News) {
         match news {
             News::Agreed(agreed) => {
-                let mut waiting = self.waiting.borrow_mut();
-                if matches!(waiting.front(), Some(Effect::Write(own)) if bytes(own) == agreed.data) {
-                    waiting.pop_front();
-                    drop(waiting);
-                    self.release();
-                }
+                self.waiting.agreed(&agreed.data);
+                self.release();
             }
             News::Leads => self.take_up(),
             News::SteppedDown | News::Replaced | News::Broken => self.lay_down(),
@@ -173,7 +169,7 @@
 
     fn lay_down(&self) {
         *self.service.borrow_mut() = None;
-        self.waiting.borrow_mut().clear();
+        self.waiting.clear();
         self.told.borrow_mut().clear();
         self.news.notify(usize::MAX);
     }
@@ -181,12 +177,15 @@
     /// Carries effects out in their order, each once the entries before it are agreed on.
     fn carry_out(&self, effects: Vec<Effect>) {
         for effect in effects {
-            let entry = if let Effect::Write(entry) = &effect { Some(bytes(entry)) } else { None };
-            self.waiting.borrow_mut().push_back(effect);
-            if let Some(entry) = entry
-                && self.council.want(entry).is_err()
-            {
-                return self.lay_down();
+            match effect {
+                Effect::Write(entry) => {
+                    let entry = bytes(&entry);
+                    self.waiting.behind(entry.clone());
+                    if self.council.want(entry).is_err() {
+                        return self.lay_down();
+                    }
+                }
+                effect => self.waiting.push(effect),
             }
         }
         // All that came within this turn goes to disk with one sync.
@@ -199,15 +198,8 @@
 
     /// What waits for nothing any more.
     fn release(&self) {
-        loop {
-            let next = {
-                let mut waiting = self.waiting.borrow_mut();
-                match waiting.front() {
-                    None | Some(Effect::Write(_)) => break,
-                    Some(_) => waiting.pop_front(),
-                }
-            };
-            next.into_iter().for_each(|effect| self.tell_of(effect));
+        while let Some(effect) = self.waiting.next() {
+            self.tell_of(effect);
         }
         self.news.notify(usize::MAX);
     }
@@ -261,7 +253,7 @@
 
     /// Writes the log anew once it has grown.
     fn tidy(&self) {
-        if !self.waiting.borrow().is_empty() {
+        if !self.waiting.is_empty() {
             return;
         }
         let whole = self.service.borrow().as_ref().map(|service| service.whole());
@@ -280,7 +272,7 @@
     /// Waits until all that was wanted is agreed on. False: this member speaks no more, and nobody knows.
     async fn settled(&self) -> bool {
         while self.council.may_speak() && self.service.borrow().is_some() {
-            if self.waiting.borrow().is_empty() {
+            if self.waiting.is_empty() {
                 return true;
             }
             self.until_news(LOOK).await;
--- a/crates/seats/src/lib.rs
+++ b/crates/seats/src/lib.rs
@@ -5,9 +5,11 @@
 mod disk;
 mod lines;
 mod net;
+mod waiting;
 
 pub use disk::{CouncilError, Old};
 pub use lines::{Answer, Call};
+pub use waiting::Waiting;
 
 use harestage::time::Moment;
 use harestage_group::{Agreed, ElsewhereError, Member, Seat, SeatStatus, Start, Turn};
@@ -259,14 +261,8 @@
         }
     }
 
-    /// Wants something to be agreed on; it comes back as news.
-    pub fn propose(&self, data: Vec<u8>) -> Result<(), ElsewhereError> {
-        self.want(data)?;
-        self.pump();
-        Ok(())
-    }
-
-    /// The same, for several that go to disk with one sync: [`Council::pump`] follows the last of them.
+    /// Wants something to be agreed on; it comes back as news. Several go to disk with one sync: [`Council::pump`] follows
+    /// the last of them.
     pub fn want(&self, data: Vec<u8>) -> Result<(), ElsewhereError> {
         if self.broken.get() {
             return Err(ElsewhereError { leader: None });
