--- a/Makefile
+++ b/Makefile
@@ -33,4 +33,5 @@
 schemas: tools
 	target/release/harestage schema shape > deploy/shape.schema.json
 	target/release/harestage schema hub > deploy/hub.schema.json
+	target/release/harestage schema feed > deploy/feed.schema.json
 	target/release/harestage schema scenario > deploy/scenario.schema.json
--- /dev/null
+++ b/crates/branch/tests/boards.rs
@@ -0,0 +1,259 @@
+//! What a branch's routers are told: read back by the router's own reader of the feed, as the list and the purges that a
+//! router then has.
+use harestage::time::Moment;
+use harestage_branch::board::{Behind, Board, Saying};
+use harestage_branch::start::FeedFile;
+use harestage_purge::scope::Scope;
+use harestage_shape::form::{ArchiveForm, BranchForm, CacheForm, HubForm, ShapeForm};
+use harestage_shape::lines::Planned;
+use harestage_wire::feed::{Line, MemberState, Told, read_line};
+use std::collections::BTreeMap;
+
+fn hub(name: &str, site: &str) -> HubForm {
+    HubForm {
+        name: name.into(),
+        address: "127.0.0.1:1".into(),
+        site: site.into(),
+        capacity: 100.0,
+        passes: 0.5,
+        since_ms: 0,
+        cold_from: 0.1,
+        cold_ms: 1_000,
+        falls_at: 2.0,
+        falls_within_ms: 1_000,
+        up: vec!["archive".into()],
+    }
+}
+
+fn version(number: u64, ties: &[&str]) -> ShapeForm {
+    let archive = ArchiveForm {
+        name: "archive".into(),
+        address: "127.0.0.1:2".into(),
+        capacity: 100.0,
+        stops_at: 2.5,
+        stops_within_ms: 3_000,
+    };
+    let branch = BranchForm {
+        name: "br".into(),
+        site: String::new(),
+        load: 10.0,
+        hubs: ties.iter().map(|tie| tie.to_string()).collect(),
+        feed: None,
+        feeds: BTreeMap::new(),
+        caches: vec![CacheForm { name: "cache".into(), address: "127.0.0.1:3".into(), since_ms: 0 }],
+    };
+    let hubs = vec![hub("e", "east"), hub("n", "north"), hub("w", "west")];
+    ShapeForm { version: number, archive, hubs, branches: vec![branch], links: Vec::new() }
+}
+
+/// A router's side: takes only the number that follows.
+#[derive(Default)]
+struct Router {
+    last: u64,
+    list: BTreeMap<String, MemberState>,
+    purged: Vec<(Option<u64>, u32, u64)>,
+    place: u64,
+}
+
+impl Router {
+    fn take(&mut self, saying: &Saying) {
+        let line = saying.line(self.last + 1, "br");
+        match read_line(&line).unwrap() {
+            Line::Event(n, told) => {
+                assert_eq!(n, self.last + 1);
+                self.last = n;
+                match told {
+                    Told::Members { whole, members } => {
+                        if whole {
+                            self.list.clear();
+                        }
+                        self.list.extend(members.into_iter().map(|m| (m.name, m.state)));
+                        self.list.retain(|_, state| *state != MemberState::Gone);
+                    }
+                    Told::Purge { object, group, at_ms } => self.purged.push((object, group, at_ms)),
+                }
+            }
+            other => panic!("{other:?}"),
+        }
+    }
+
+    fn calls(&mut self, board: &Board) {
+        let (sayings, place) = board.whole().expect("there is something to tell");
+        sayings.iter().for_each(|saying| self.take(saying));
+        self.place = place;
+    }
+
+    fn follows(&mut self, board: &Board) {
+        let new: Vec<Saying> = board.after(self.place).expect("it is not behind").cloned().collect();
+        new.iter().for_each(|saying| self.take(saying));
+        self.place = board.place();
+    }
+
+    fn parents(&self) -> Vec<&str> {
+        let parent =
+            |(name, state): &(&String, &MemberState)| name.len() == 1 && **state == MemberState::Ready;
+        self.list.iter().filter(parent).map(|(name, _)| name.as_str()).collect()
+    }
+}
+
+fn at(ms: u64) -> Moment {
+    Moment::at_micros(ms * 1_000)
+}
+
+fn planned(lost: &[&str], ties: &[&str]) -> Planned {
+    let owned = |list: &[&str]| list.iter().map(|name| name.to_string()).collect::<Vec<_>>();
+    Planned { lost: owned(lost).into_iter().collect(), ties: owned(ties) }
+}
+
+/// East and north say for so long that they hear nothing of west, and no service says anything.
+fn west_is_lost(board: &mut Board, from_ms: u64) -> u64 {
+    let mut ms = from_ms;
+    for _ in 0..50 {
+        ms += 100;
+        for hub in ["e", "n"] {
+            board.seen(hub, &["west".into()], false, at(ms));
+        }
+        board.beat(at(ms));
+    }
+    ms
+}
+
+#[test]
+fn routers_are_told_each_version_and_one_that_calls_again_the_whole() {
+    let mut board = Board::new("br", 4, false, at(1_000));
+    assert!(board.whole().is_none() && board.waits_for().is_some());
+    board.told(&version(5, &["w"]), Vec::new(), at(1_000));
+    let (mut first, mut second) = (Router::default(), Router { last: 57, ..Router::default() });
+    first.calls(&board);
+    second.calls(&board);
+    assert_eq!((first.parents(), second.parents()), (vec!["w"], vec!["w"]));
+    assert_eq!((first.last, second.last), (1, 58), "each under the number that follows its own last");
+    board.told(&version(6, &["e", "w"]), Vec::new(), at(1_100));
+    board.told(&version(7, &["e"]), Vec::new(), at(1_200));
+    first.follows(&board);
+    assert_eq!(first.parents(), ["e"]);
+    assert_eq!(first.list["w"], MemberState::Draining, "what is dropped drains first");
+    board.told(&version(8, &["e", "n"]), Vec::new(), at(1_300));
+    first.follows(&board);
+    assert!(!first.list.contains_key("w") && first.parents() == ["e", "n"]);
+    // An older version, one that names the branch no more, and one that can't be, change nothing.
+    board.told(&version(7, &["w"]), Vec::new(), at(1_400));
+    board.told(&ShapeForm { branches: Vec::new(), ..version(9, &[]) }, Vec::new(), at(1_400));
+    board.told(&version(10, &["mars"]), Vec::new(), at(1_400));
+    assert_eq!((board.version(), board.after(first.place).unwrap().count()), (8, 0));
+}
+
+#[test]
+fn with_no_service_the_plan_is_carried_out_and_taken_back_by_a_service_alone() {
+    let mut board = Board::new("br", 4, false, at(1_000));
+    board.told(&version(5, &["w"]), vec![planned(&["west"], &["e", "n"])], at(1_000));
+    let mut router = Router::default();
+    router.calls(&board);
+    let ms = west_is_lost(&mut board, 1_000);
+    router.follows(&board);
+    assert_eq!((router.parents(), router.list["w"]), (vec!["e", "n"], MemberState::Draining));
+    let mut late = Router::default();
+    late.calls(&board);
+    assert_eq!(late.parents(), ["e", "n"], "who calls meanwhile is told the same");
+    board.service_spoke(at(ms + 100));
+    router.follows(&board);
+    assert_eq!(router.parents(), ["w"]);
+    // A version that the service gives for the loss takes its place, too.
+    let ms = west_is_lost(&mut board, ms + 100);
+    board.told(&version(6, &["n"]), Vec::new(), at(ms + 100));
+    router.follows(&board);
+    assert_eq!(router.parents(), ["n"]);
+}
+
+#[test]
+fn where_nobody_made_a_plan_the_ties_that_are_left_stay_and_never_none() {
+    let mut board = Board::new("br", 4, false, at(1_000));
+    board.told(&version(5, &["n", "w"]), Vec::new(), at(1_000));
+    let mut router = Router::default();
+    router.calls(&board);
+    west_is_lost(&mut board, 1_000);
+    router.follows(&board);
+    assert_eq!(router.parents(), ["n"]);
+    let mut only = Board::new("br", 4, false, at(1_000));
+    only.told(&version(5, &["w"]), Vec::new(), at(1_000));
+    west_is_lost(&mut only, 1_000);
+    let mut router = Router::default();
+    router.calls(&only);
+    assert_eq!(router.parents(), ["w"], "to be tied to nobody helps nobody");
+}
+
+#[test]
+fn purges_are_told_by_object_or_of_all_groups_and_anew_to_whoever_calls() {
+    let mut board = Board::new("br", 3, true, at(1_000));
+    board.told(&version(5, &["w"]), Vec::new(), at(1_000));
+    assert_eq!(board.waits_for(), Some("the purges that live are not known yet"));
+    board.knows_purges();
+    let mut router = Router::default();
+    router.calls(&board);
+    let scope = |scope: Scope| scope.checked().unwrap();
+    board.purge(&scope(Scope::Object("00000000000000ff".into())), at(2_000));
+    board.purge(&scope(Scope::Part { object: "00000000000000fe".into(), part: 3 }), at(2_100));
+    board.purge(&scope(Scope::Group(2)), at(2_200));
+    router.follows(&board);
+    assert_eq!(router.purged, [(Some(0xff), 0, 2_000), (Some(0xfe), 0, 2_100), (None, 2, 2_200)]);
+    board.purge(&scope(Scope::Glob("00*".into())), at(2_300));
+    router.follows(&board);
+    assert_eq!(router.purged[3..], [(None, 0, 2_300), (None, 1, 2_300), (None, 2, 2_300)]);
+    let mut late = Router { last: 9, ..Router::default() };
+    late.calls(&board);
+    let all: Vec<_> =
+        (0..3).map(|g| (None, g, 2_300)).chain([(Some(0xfe), 0, 2_100), (Some(0xff), 0, 2_000)]).collect();
+    assert_eq!(late.purged, all);
+    // What no copy can be older than is forgotten.
+    board.beat(at(2_000 + 3_700_000));
+    let (sayings, _) = board.whole().unwrap();
+    assert_eq!(sayings.len(), 1);
+}
+
+#[test]
+fn more_single_purges_than_are_kept_become_purges_of_all_groups() {
+    let mut board = Board::new("br", 2, false, at(1_000));
+    board.told(&version(5, &["w"]), Vec::new(), at(1_000));
+    for n in 0..5_000u64 {
+        let object = Scope::Object(format!("{n:016x}")).checked().unwrap();
+        board.purge(&object, at(2_000 + n));
+    }
+    let (sayings, _) = board.whole().unwrap();
+    assert!(sayings.len() < 4_100, "{}", sayings.len());
+    let mut router = Router::default();
+    router.calls(&board);
+    for n in 0..5_000u64 {
+        let covered = router
+            .purged
+            .iter()
+            .any(|(object, _, at_ms)| *at_ms >= 2_000 + n && (*object == Some(n) || object.is_none()));
+        assert!(covered, "object {n}");
+    }
+    assert_eq!(board.after(0).err(), Some(Behind), "who is further behind than what is kept calls again");
+}
+
+#[test]
+fn a_file_that_can_not_be_is_refused_by_its_key() {
+    let good = serde_json::json!({"name": "feed-1", "branch": "br", "listen": "127.0.0.1:9",
+        "controls": ["127.0.0.1:8"]});
+    let read = |change: &dyn Fn(&mut serde_json::Value)| {
+        let mut json = good.clone();
+        change(&mut json);
+        let file: FeedFile = serde_json::from_value(json).unwrap();
+        file.checked().map(|start| start.groups)
+    };
+    assert_eq!(read(&|_| {}), Ok(256));
+    type Change<'a> = &'a dyn Fn(&mut serde_json::Value);
+    let cases: [(&str, Change); 6] = [
+        ("key name: \"a b\"", &|j| j["name"] = "a b".into()),
+        ("key branch: \"\"", &|j| j["branch"] = "".into()),
+        ("key listen: \"here\"", &|j| j["listen"] = "here".into()),
+        ("key controls[0]: \"x\"", &|j| j["controls"][0] = "x".into()),
+        ("key controls: there has to be one", &|j| j["controls"] = serde_json::json!([])),
+        ("key groups: 0 is not from 1", &|j| j["groups"] = 0.into()),
+    ];
+    for (says, change) in cases {
+        let why = read(change).unwrap_err();
+        assert!(why.starts_with(says) && why.lines().count() == 1, "{says}: {why}");
+    }
+}
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -9,6 +9,8 @@
 mod site;
 
 use clap::{Parser, Subcommand};
+use harestage_branch::net::BranchFeed;
+use harestage_branch::start::FeedFile;
 use harestage_control::serve::Keeper;
 use harestage_hub::net::Hub;
 use harestage_hub::start::HubFile;
@@ -78,6 +80,11 @@
         #[command(subcommand)]
         what: purge::Purge,
     },
+    /// Run a branch's own feed: it tells the branch's routers of hubs and purges, also while no service can be reached.
+    Feed {
+        /// The feed's file; `harestage schema feed` says what may stand in it.
+        file: PathBuf,
+    },
     /// Run a router, as `harestage-router` does.
     Router {
         file: String,
@@ -114,6 +121,7 @@
 enum SchemaOf {
     Shape,
     Hub,
+    Feed,
     Scenario,
 }
 
@@ -136,6 +144,7 @@
     }
     let told = match what {
         What::Hub { file } => hub(&file, log),
+        What::Feed { file } => feed(&file, log),
         What::Control { listen, journal, first, group } => control(listen, &journal, first, &group, log),
         What::Purges { listen, folder, group } => purges(listen, &folder, &group, log),
         What::Group { what } => return group::run(what),
@@ -153,6 +162,7 @@
             let text = match of {
                 SchemaOf::Shape => form::schema(),
                 SchemaOf::Hub => harestage_hub::start::schema(),
+                SchemaOf::Feed => harestage_branch::start::schema(),
                 SchemaOf::Scenario => harestage_fleet::scenario::schema(),
             };
             print!("{text}");
@@ -176,6 +186,14 @@
     Ok(())
 }
 
+fn feed(file: &std::path::Path, form: log::Form) -> Result<(), String> {
+    let start = FeedFile::read(file)?.checked().map_err(|why| format!("{}: {why}", file.display()))?;
+    let (log, _written_at_end) = log::open(&start.name, form);
+    let feed = BranchFeed::bind(start).map_err(|why| format!("{}: {why}", file.display()))?;
+    feed.serve(log, log::until_signal()?);
+    Ok(())
+}
+
 fn control(
     listen: SocketAddr,
     journal: &std::path::Path,
--- a/crates/cli/tests/commands.rs
+++ b/crates/cli/tests/commands.rs
@@ -111,7 +111,7 @@
 #[test]
 fn schemas_and_examples_are_those_in_the_repository() {
     let deploy = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../deploy");
-    for of in ["shape", "hub", "scenario"] {
+    for of in ["shape", "hub", "feed", "scenario"] {
         let (_, printed, _) = said(&harestage(&["schema", of]));
         let kept = std::fs::read_to_string(deploy.join(format!("{of}.schema.json"))).unwrap();
         assert!(printed == kept, "make schemas");
--- a/crates/cli/tests/fleet.rs
+++ b/crates/cli/tests/fleet.rs
@@ -1,58 +1,18 @@
 //! Many processes of the program behaving together while parts of the system fail. Each test starts a fleet of its own
 //! from a scenario and injects faults between its processes; what it judges are counts and orders, never how quick a busy
 //! machine is.
+mod common;
+
+use common::*;
 use harestage_fleet::Fleet;
 use harestage_fleet::scenario::{Act, WayForm};
 use harestage_fleet::timeline::Entry;
 use harestage_measure::three::Three;
-use std::path::Path;
-use std::sync::Mutex;
 use std::time::Duration;
 
-/// A fleet uses what cores there are: one at a time.
-static ONE: Mutex<()> = Mutex::new(());
-
-const LONG: Duration = Duration::from_secs(30);
-
-fn launch(three: &Three) -> Fleet {
-    let three = Three { rate: 15.0, patience: 4, ..three.clone() };
-    let fleet = Fleet::launch(three.scenario(), Path::new(env!("CARGO_BIN_EXE_harestage")));
-    fleet.unwrap_or_else(|why| panic!("{why}"))
-}
-
-fn sum(entries: &[Entry], says: &str, field: &str) -> f64 {
-    entries.iter().filter(|e| e.says == says).filter_map(|e| e.number(field)).sum()
-}
-
-fn last(entries: &[Entry], says: &str, field: &str) -> f64 {
-    entries.iter().rfind(|e| e.says == says).and_then(|e| e.number(field)).unwrap_or(f64::NAN)
-}
-
-/// Nothing lost, nothing wrong, no filing run twice, and no process ended that nobody told to.
-fn whole(fleet: &mut Fleet) -> Vec<Entry> {
-    fleet.play_for(Duration::from_millis(2_500));
-    let verdict = fleet.finish();
-    let entries = fleet.timeline().all();
-    assert_eq!(verdict.ended_by_themselves, Vec::<String>::new(), "{}", fleet.around(1e9));
-    for field in ["lost", "wrong"] {
-        let bad = entries.iter().find(|e| e.says == "crowd" && e.number(field).is_some_and(|n| n > 0.0));
-        if let Some(bad) = bad {
-            panic!("{field}: {bad}\n{}", fleet.around(bad.at_ms));
-        }
-    }
-    assert_eq!(sum(&entries, "crowd", "lost"), 0.0, "downloads without an answer");
-    assert_eq!(sum(&entries, "crowd", "wrong"), 0.0, "bodies that the archive did not give");
-    assert_eq!(last(&entries, "archive ended", "filings_doubled"), 0.0, "filings that ran twice");
-    entries
-}
-
-fn served(entries: &[Entry]) -> f64 {
-    (sum(entries, "crowd", "in_time") + sum(entries, "crowd", "late")) / sum(entries, "crowd", "asked")
-}
-
 #[test]
 fn a_fleet_in_which_nothing_fails_serves_everything() {
-    let _one = ONE.lock();
+    let _turn = turn();
     let mut fleet = launch(&Three { lasts_ms: 90_000, services: 3, ..Three::default() });
     fleet.play_for(Duration::from_millis(2_500));
     assert!(fleet.running() >= 19, "{} processes", fleet.running());
@@ -67,7 +27,7 @@
 /// what was agreed on, under a later term, and hubs and routers find it by themselves.
 #[test]
 fn hubs_and_routers_find_the_next_leader_of_the_service() {
-    let _one = ONE.lock();
+    let _turn = turn();
     let mut fleet = launch(&Three { lasts_ms: 60_000, services: 3, ..Three::default() });
     let mut term = 0.0;
     for round in 0..2 {
@@ -98,7 +58,7 @@
 /// anything; and what the hubs hear never goes back in its term.
 #[test]
 fn a_leader_that_is_cut_off_or_stopped_hands_nothing_out() {
-    let _one = ONE.lock();
+    let _turn = turn();
     let mut fleet = launch(&Three { lasts_ms: 60_000, services: 3, ..Three::default() });
     let first = fleet.wait_for(LONG, |e| e.says == "speaks").expect("somebody speaks").by;
     for other in ["control-1", "control-2", "control-3"].into_iter().filter(|name| *name != first) {
@@ -145,7 +105,7 @@
 /// Members that follow have nothing to say to each other for minutes; when one of them has, its line has to stand.
 #[test]
 fn lines_between_members_that_say_nothing_stay_up() {
-    let _one = ONE.lock();
+    let _turn = turn();
     let mut fleet = launch(&Three { lasts_ms: 60_000, services: 3, ..Three::default() });
     assert!(fleet.wait_for(LONG, |e| e.says == "speaks").is_some());
     fleet.play_for(Duration::from_millis(7_000));
@@ -162,7 +122,7 @@
 /// The disk of a member falls back to what was synced when all are killed at one instant: what was agreed on is there.
 #[test]
 fn all_members_killed_at_once_come_back_with_all_that_was_agreed_on() {
-    let _one = ONE.lock();
+    let _turn = turn();
     let mut fleet = launch(&Three { lasts_ms: 60_000, services: 3, ..Three::default() });
     let first = fleet.wait_for(LONG, |e| e.says == "takes up the service").expect("somebody leads");
     fleet.play_for(Duration::from_millis(500));
@@ -183,7 +143,7 @@
 /// A member whose disk is gone is not let in under its old number, and ends; it comes back as a new one.
 #[test]
 fn a_member_without_its_disk_comes_back_only_as_a_new_one() {
-    let _one = ONE.lock();
+    let _turn = turn();
     let mut fleet = launch(&Three { lasts_ms: 60_000, services: 3, ..Three::default() });
     let first = fleet.wait_for(LONG, |e| e.says == "speaks").expect("somebody speaks").by;
     fleet.play_for(Duration::from_millis(800));
@@ -213,39 +173,11 @@
     }
 }
 
-fn says_of(e: &Entry, says: &str, site: &str) -> bool {
-    e.says == "change"
-        && e.text("said").contains(says)
-        && e.text("said").contains(&format!("\"site\":\"{site}\""))
-}
-
-fn stands(site: &str, is: &str) -> impl Fn(&Entry) -> bool {
-    let (site, is) = (site.to_string(), format!("\"is\":\"{is}\""));
-    move |e| says_of(e, "\"what\":\"site\"", &site) && e.text("said").contains(&is)
-}
-
-/// Waits until hubs of all three sites report, so that there is somebody to bear witness.
-fn all_report(fleet: &mut Fleet) {
-    for site in ["east", "west", "north"] {
-        let up =
-            fleet.wait_for(LONG, |e| e.site == site && e.by.starts_with("hub-") && e.says == "control up");
-        assert!(up.is_some(), "hubs of {site} report");
-    }
-    fleet.play_for(Duration::from_millis(1_500));
-}
-
-fn harestage(args: &[&str]) -> (i32, String) {
-    let output = std::process::Command::new(env!("CARGO_BIN_EXE_harestage")).args(args).output().unwrap();
-    let text =
-        String::from_utf8_lossy(&output.stdout).into_owned() + &String::from_utf8_lossy(&output.stderr);
-    (output.status.code().unwrap_or(-1), text)
-}
-
 /// The site with the leader of the service is killed at peak; the others decide that it is lost, take its load by the plan
 /// that was made beforehand, and bring it back in steps once it has stayed.
 #[test]
 fn a_site_with_the_leader_is_lost_and_comes_back_in_steps() {
-    let _one = ONE.lock();
+    let _turn = turn();
     let mut fleet = launch(&Three { lasts_ms: 90_000, services: 3, ..Three::default() });
     all_report(&mut fleet);
     let leader = fleet.wait_for(LONG, |e| e.says == "speaks").expect("somebody speaks");
@@ -276,7 +208,7 @@
 /// that is slow. None of it is a loss, and both sides go on serving.
 #[test]
 fn cuts_and_slow_sites_are_no_losses() {
-    let _one = ONE.lock();
+    let _turn = turn();
     let mut fleet = launch(&Three { lasts_ms: 90_000, services: 3, ..Three::default() });
     all_report(&mut fleet);
     let way = |from: &str, to: &str| WayForm { from: from.into(), to: to.into(), ..WayForm::default() };
@@ -305,7 +237,7 @@
 /// A second site is lost while the first one comes back: its return ends where it stands, and both are out.
 #[test]
 fn a_second_loss_while_the_first_site_returns_leaves_both_out() {
-    let _one = ONE.lock();
+    let _turn = turn();
     let mut fleet = launch(&Three { lasts_ms: 90_000, services: 5, ..Three::default() });
     all_report(&mut fleet);
     fleet.kill_now("north");
@@ -324,7 +256,7 @@
 /// Staff evacuates a site in steps, keeps it out, and lets it back; what can't be is refused by exit codes.
 #[test]
 fn staff_evacuates_a_site_and_lets_it_back() {
-    let _one = ONE.lock();
+    let _turn = turn();
     let mut fleet = launch(&Three { lasts_ms: 90_000, services: 3, ..Three::default() });
     all_report(&mut fleet);
     let at: Vec<String> =
@@ -353,7 +285,7 @@
 /// synced: what was accepted is reached by the next one, under the same number, and the same wish is no second purge.
 #[test]
 fn purges_that_were_accepted_are_reached_by_the_next_leader() {
-    let _one = ONE.lock();
+    let _turn = turn();
     let mut fleet = launch(&Three { lasts_ms: 90_000, services: 3, purges: true, ..Three::default() });
     all_report(&mut fleet);
     for site in ["east", "west", "north"] {
@@ -398,7 +330,7 @@
 /// fills: neither is the loss of a site by itself, and nothing is lost over it.
 #[test]
 fn half_of_a_site_is_no_loss_and_hubs_that_were_stopped_go_on() {
-    let _one = ONE.lock();
+    let _turn = turn();
     let mut fleet = launch(&Three { lasts_ms: 90_000, services: 3, ..Three::default() });
     all_report(&mut fleet);
     fleet.kill_now("hub-west-2");
@@ -428,7 +360,7 @@
 /// change ends where it stands, the loss goes first, and a fresh router learns the shape as it is now.
 #[test]
 fn a_loss_in_the_middle_of_a_change_goes_first_and_fresh_routers_learn_of_it() {
-    let _one = ONE.lock();
+    let _turn = turn();
     let three = Three { lasts_ms: 90_000, services: 3, ..Three::default() };
     let mut fleet = launch(&three);
     all_report(&mut fleet);
@@ -473,7 +405,7 @@
 /// A member whose disk takes nothing more ends, and tells nobody what it could not write; the others go on.
 #[test]
 fn a_member_whose_disk_is_full_ends_and_the_others_go_on() {
-    let _one = ONE.lock();
+    let _turn = turn();
     let mut fleet = launch(&Three { lasts_ms: 90_000, services: 3, ..Three::default() });
     all_report(&mut fleet);
     let leader =
@@ -502,7 +434,7 @@
 /// A rig that is killed leaves nothing behind: its minder ends all that it started, and nothing else.
 #[test]
 fn a_rig_that_is_killed_leaves_no_process_behind() {
-    let _one = ONE.lock();
+    let _turn = turn();
     let scenario = Three { lasts_ms: 60_000, ..Three::default() }.scenario();
     let file = std::env::temp_dir().join(format!("harestage-drill-{}.json", std::process::id()));
     std::fs::write(&file, serde_json::to_string(&scenario).unwrap()).unwrap();
@@ -586,7 +518,7 @@
 /// Staff takes a member out whose disk is gone, and takes it in again as a new one: it is sent everything, and counts.
 #[test]
 fn staff_takes_a_lost_member_out_and_its_next_incarnation_in() {
-    let _one = ONE.lock();
+    let _turn = turn();
     let mut fleet = launch(&Three { lasts_ms: 90_000, services: 3, ..Three::default() });
     all_report(&mut fleet);
     let leader =
--- a/crates/control/src/serve.rs
+++ b/crates/control/src/serve.rs
@@ -1,7 +1,6 @@
 //! The control service on sockets: one thread; one task turns the state machine, and one for each connection of a
 //! member, an operator or a router. It is a member of a group, alone or with others: whoever leads runs the state machine
 //! on what the group has agreed on, and only it tells anyone anything, while it knows that it still leads.
-use crate::feed;
 use crate::journal;
 use async_channel::Receiver;
 use async_io::{Async, Timer};
@@ -9,6 +8,7 @@
 use futures_lite::future::or;
 use harestage_seats::{Council, CouncilStart, News, Waiting};
 use harestage_shape::control::{Control, Effect, Said, Standing};
+use harestage_shape::feed;
 use harestage_shape::form::ShapeForm;
 use harestage_shape::lines::{self, Answer, Call, FromMember, ToMember};
 use harestage_shape::plan;
@@ -313,7 +313,11 @@
     let text = String::from_utf8_lossy(&line).into_owned();
     if let Some((last, name)) = lines::read_subscribe(&text) {
         lines.most = LONGEST_REPORT;
-        return or(hear(service, &mut lines, name), tell(service, stream, last)).await;
+        return or(hear(service, &mut lines, name), tell(service, stream, last, name, None)).await;
+    }
+    if let Some((last, name, branch)) = lines::read_subscribe_branch(&text) {
+        lines.most = LONGEST_REPORT;
+        return or(hear(service, &mut lines, name), tell(service, stream, last, branch, Some(branch))).await;
     }
     if let Ok(call) = serde_json::from_slice::<harestage_seats::Call>(&line) {
         let answer = service.council.answer(&call);
@@ -350,8 +354,14 @@
     String::new()
 }
 
-/// Versions to a member, each whole; one that was away gets the newest only.
-async fn tell(service: &Service, stream: &Stream, mut last: u64) -> String {
+/// Versions to a member, each whole; one that was away gets the newest only. With each go the plans for its place.
+async fn tell(
+    service: &Service,
+    stream: &Stream,
+    mut last: u64,
+    place: &str,
+    branch: Option<&str>,
+) -> String {
     loop {
         if !service.speaks() {
             return elsewhere(service, stream).await;
@@ -361,7 +371,12 @@
         let version = service.with(|director| {
             let control = director.control();
             let shape = control.version(told).filter(|shape| shape.version() > last)?;
-            Some(ToMember::Version { term: control.term(), shape: Box::new(feed::for_hubs(shape)) })
+            let form = match branch {
+                Some(branch) => feed::for_branch(shape, branch)?,
+                None => feed::for_hubs(shape),
+            };
+            let plans = director.handed(place);
+            Some(ToMember::Version { term: control.term(), shape: Box::new(form), plans })
         });
         match version.flatten() {
             Some(version) => {
@@ -524,7 +539,7 @@
             None => text.extend(feed::nothing(number)),
             Some(shape) => {
                 let before = last.checked_sub(1).and_then(|number| control.version(number));
-                text.extend(feed::event(before, control.version(*last), shape, branch));
+                text.extend(feed::event(number, before, control.version(*last), shape, branch));
             }
         }
         *last = number;
--- a/crates/fleet/src/scenario.rs
+++ b/crates/fleet/src/scenario.rs
@@ -62,6 +62,8 @@
     Control,
     Purges,
     Hub,
+    /// A branch's own feed.
+    Feed,
     Router,
     /// Stand-ins by a script: an archive, edge caches, clients.
     Standin,
--- /dev/null
+++ b/crates/following/src/purges.rs
@@ -0,0 +1,95 @@
+//! Follows the service of purges: says what it has, some times a second and after each news, and applies what it is told
+//! before it says so.
+use crate::{Line, subscribe};
+use async_io::Timer;
+use futures_lite::future::or;
+use harestage_purge::follow::{Act, Follower};
+use harestage_purge::lines::{ToMember, line};
+use harestage_sockets::leader::Leader;
+use harestage_sockets::lines::{Lines, within, write_text};
+use slog::{Logger, info, warn};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Between two words to the service, where there is nothing new.
+const SAYS_EVERY: Duration = Duration::from_millis(80);
+
+/// Whoever applies purges.
+pub trait Hands {
+    /// Applies all of them: when it returns, no answer goes by what was before. `has` is the number of the last of them;
+    /// `ready` says that all that lives is known.
+    fn apply(&mut self, acts: Vec<Act>, has: u64, ready: bool) -> impl Future<Output = ()>;
+}
+
+/// Follows for as long as it is polled. `start` is a number that no other start of this member has.
+pub async fn follow(
+    name: &str,
+    start: u64,
+    services: Vec<SocketAddr>,
+    terms: Line,
+    mut hands: impl Hands,
+    log: Logger,
+) {
+    let mut follower = Follower::new(name, start);
+    let mut down = false;
+    let Some(mut leader) = Leader::among(services) else { return };
+    loop {
+        let stayed = stay(&mut leader, &mut follower, &terms, &mut hands, &log, &mut down).await;
+        let why = stayed.err().unwrap_or_default();
+        if !std::mem::replace(&mut down, true) {
+            warn!(log, "purges down"; "why" => why, "has" => follower.confirm().has);
+        }
+        Timer::after(terms.pause).await;
+    }
+}
+
+async fn stay(
+    leader: &mut Leader,
+    follower: &mut Follower,
+    terms: &Line,
+    hands: &mut impl Hands,
+    log: &Logger,
+    down: &mut bool,
+) -> Result<(), String> {
+    let at = leader.next();
+    // Where it breaks without a word of who speaks, the next one is tried.
+    leader.missed();
+    let stream = subscribe(at, &line(&follower.confirm()), terms.connect).await?;
+    let mut lines = Lines::new(&stream, terms.bytes);
+    let mut up = false;
+    loop {
+        let before = follower.confirm();
+        let told = within(terms.silence, "silent", lines.next()).await?;
+        if let Ok(ToMember::Elsewhere { serves }) = serde_json::from_slice(&told) {
+            leader.elsewhere(serves.as_deref());
+            return Err("this member does not speak".into());
+        }
+        if !std::mem::replace(&mut up, true) {
+            leader.found(at);
+            *down = false;
+            info!(log, "purges up"; "has" => follower.confirm().has);
+        }
+        apply(&told, follower, hands).await?;
+        // What is new is confirmed at once: others wait for it, and a fence comes soon.
+        if follower.confirm() != before {
+            write_text(&stream, &line(&follower.confirm()), terms.silence).await?;
+            continue;
+        }
+        // What comes within the pause is applied at once, and confirmed with what came before.
+        let pause = async {
+            Timer::after(SAYS_EVERY).await;
+            None
+        };
+        if let Some(more) = or(async { Some(lines.next().await) }, pause).await {
+            apply(&more?, follower, hands).await?;
+        }
+        write_text(&stream, &line(&follower.confirm()), terms.silence).await?;
+    }
+}
+
+async fn apply(told: &[u8], follower: &mut Follower, hands: &mut impl Hands) -> Result<(), String> {
+    let told: ToMember = serde_json::from_slice(told).map_err(|why| format!("an unreadable line: {why}"))?;
+    let acts = follower.hear(told).map_err(|why| format!("{why:?}"))?;
+    hands.apply(acts, follower.confirm().has, follower.is_ready()).await;
+    Ok(())
+}
--- a/crates/hub/src/desk.rs
+++ b/crates/hub/src/desk.rs
@@ -15,8 +15,10 @@
 use harestage_shape::shield::{ANSWERS_WITHIN, Reply, Right, Shield};
 use harestage_shape::tree::{ARCHIVE, Place, PlaceIx, Shape, Versions, warmth};
 use harestage_sites::budget::Budget;
-use harestage_sites::ration::{self, Ration, Want};
-use harestage_sites::sight::Sight;
+use harestage_sites::ration::{self, Ration, Refusals, Want};
+use harestage_sites::sight::{Sight, Sighting};
+use harestage_sites::standby::{Planned, Standby, Turn};
+use harestage_sites::watch::SILENCE;
 use harestage_wire::fields::Hex;
 use harestage_wire::node::{Answer, Asked, CopyTag, Given, Word};
 use harestage_wire::peer::{Chase, Way};
@@ -116,10 +118,23 @@
     Fenced(BTreeSet<String>),
     /// All purges that live are known.
     KnowsPurges,
-    /// A hub of another site has answered.
+    /// A hub of another site has answered, and named the sites from which it hears nothing itself.
     Seen {
         ask: PullNo,
         leaving: bool,
+        unseen: Vec<String>,
+    },
+    /// What this hub is to do where a site is lost and no service speaks.
+    Plans {
+        version: u64,
+        plans: Vec<Planned>,
+    },
+    /// The control service speaks, whatever it has said.
+    ServiceSpoke,
+    /// Whoever refuses a pull says when to come again; its answer follows.
+    ComeAgain {
+        pull: PullNo,
+        after: Span,
     },
     /// What a hub calls itself.
     Named {
@@ -153,6 +168,8 @@
     },
     /// A circle of waits was found here, and broken.
     Broke(Knot),
+    /// It goes by another plan from now on, for the log.
+    Turned(Turn),
 }
 
 /// A pull as the wire's request needs it.
@@ -215,6 +232,8 @@
     sent: Moment,
     until: Moment,
     again: u32,
+    /// A source that refused it wants it back no sooner.
+    come: Option<Moment>,
     /// It broke a circle: it fetches for all in it, whoever is home.
     forced: bool,
     /// It had its turn at the archive's gate asked for already.
@@ -301,8 +320,13 @@
     ration: Ration,
     budget: Budget,
     drawn: u64,
-    /// Questions that are on their way, by the pull number that stands for them.
-    asks: HashMap<PullNo, (String, u64)>,
+    /// Pulls that were refused lately, so that their second tries are told apart.
+    refusals: Refusals,
+    /// Questions that are on their way, by the pull number that stands for them: who was asked, where, and its number.
+    asks: HashMap<PullNo, (String, String, u64)>,
+    /// What it does about a lost site while no service speaks, and the newest version by that.
+    standby: Standby,
+    planned: Option<Shape>,
     /// False: the way that others are measured against, in which a new home fetches without asking the old one.
     hands_over: bool,
 }
@@ -341,7 +365,10 @@
             ration: Ration::new(now),
             budget: Budget::new(REPEATS, now),
             drawn: 0,
+            refusals: Refusals::new(now),
             asks: HashMap::new(),
+            standby: Standby::new(now),
+            planned: None,
             hands_over: true,
         };
         desk.set(now + BEAT, Bell::Beat);
@@ -403,13 +430,25 @@
                 let act = self.knots.chased(chase, now);
                 self.act(act, now);
             }
-            News::Told(form) => self.told(&form, now),
-            News::Part { part, asked } => self.share.told(part, asked, now),
+            News::Told(form) => {
+                self.service_spoke(now);
+                self.told(&form, now);
+            }
+            News::Part { part, asked } => {
+                self.service_spoke(now);
+                self.share.told(part, asked, now);
+            }
+            News::Plans { version, plans } => self.handed(version, plans, now),
+            News::ServiceSpoke => self.service_spoke(now),
+            News::ComeAgain { pull, after } => {
+                let fill = self.pulls.get(&pull).and_then(|key| self.fills.get_mut(key));
+                fill.into_iter().for_each(|fill| fill.come = Some(now + after));
+            }
             News::Purged { named, at } => self.store.purge(named, at, now),
             News::Covered { scope, at } => self.store.purge_scope(&scope, at, now),
             News::Fenced(fenced) => self.fence(fenced, now),
             News::KnowsPurges => self.unknowing = false,
-            News::Seen { ask, leaving } => self.seen(ask, leaving, now),
+            News::Seen { ask, leaving, unseen } => self.seen(ask, leaving, &unseen, now),
             News::Named { addressed, own } => self.knots.known_as(&addressed, &own),
         }
     }
@@ -484,8 +523,9 @@
         }
         let key = (asked.object.number(), asked.part);
         let keeping = self.contents.get(&asked.content).copied();
-        if !self.takes(conn, &asked, keeping, now) {
-            return self.refuse(conn, asked.id, Word::Full, Remark::NoPlace);
+        if let ration::Answer::ComeAgain(after) = self.takes(conn, &asked, keeping, now) {
+            self.refusals.note(&(conn, key), now);
+            return self.refuse_until(conn, asked.id, asked.way.is_some().then_some(after));
         }
         let fresh = keeping.and_then(|k| k.fresh);
         let oldest = asked.oldest_ms.map(Span::millis).or(fresh);
@@ -517,17 +557,31 @@
 
     /// Where more is asked than this hub can do, what is worth least is refused, at once and with the proof that it never
     /// ran; each connection from below, a branch's cache, has a fair part where the line falls. Questions among homes pass.
-    fn takes(&mut self, conn: ConnNo, asked: &Asked, keeping: Option<Keeping>, now: Moment) -> bool {
+    fn takes(
+        &mut self,
+        conn: ConnNo,
+        asked: &Asked,
+        keeping: Option<Keeping>,
+        now: Moment,
+    ) -> ration::Answer {
         if self.site.is_empty() || asked.way.as_ref().is_some_and(|way| way.hand_over) {
-            return true;
+            return ration::Answer::Taken;
         }
         self.drawn += 1;
         let mut hasher = DefaultHasher::new();
         (&self.name, self.drawn).hash(&mut hasher);
         let chance = (hasher.finish() >> 11) as f64 / (1u64 << 53) as f64;
         let worth = keeping.map_or(1.0, |keeping| keeping.benefit);
-        let want = Want { worth, takes: 1.0, second_try: false, branch: conn as u32 };
-        self.ration.ask(&want, chance, now) == ration::Answer::Taken
+        // The protocol of the caches has no word for a second try: who was refused and asks again makes one.
+        let key = (asked.object.number(), asked.part);
+        let second_try = self.refusals.has(&(conn, key), now);
+        let want = Want { worth, takes: 1.0, second_try, branch: conn as u32 };
+        self.ration.ask(&want, chance, now)
+    }
+
+    /// What was refused here lately, and how much of it out of its order.
+    pub fn refused(&self) -> ration::Tally {
+        self.ration.tally()
     }
 
     /// What it can do at its age, by the newest version; none where no version names it.
@@ -558,7 +612,16 @@
     }
 
     fn refuse(&mut self, conn: ConnNo, id: Hex, word: Word, remark: Remark) {
-        let given = Given { id, word, remark, first_ms: 0.0, copy: None, body: Bytes::new() };
+        let (first_ms, copy, body, come_ms) = (0.0, None, Bytes::new(), None);
+        let given = Given { id, word, remark, first_ms, copy, body, come_ms };
+        self.orders.push(Order::Answer { conn, given });
+    }
+
+    /// Refused for want of room; a hub of ours hears when to come again.
+    fn refuse_until(&mut self, conn: ConnNo, id: Hex, after: Option<Span>) {
+        let (first_ms, copy, body) = (0.0, None, Bytes::new());
+        let come_ms = after.map(|after| (after.as_micros() / 1_000).max(1));
+        let given = Given { id, word: Word::Full, remark: Remark::NoPlace, first_ms, copy, body, come_ms };
         self.orders.push(Order::Answer { conn, given });
     }
 
@@ -628,6 +691,7 @@
             sent: now,
             until: now + Span::millis(asked.waits_ms),
             again: 0,
+            come: None,
             forced: false,
             queued: false,
             bell: None,
@@ -685,7 +749,8 @@
     /// Sends a fill on its next way. `path`: the hubs that its first pull came through.
     fn advance_by(&mut self, key: Key, path: &[String], now: Moment) {
         let Some(fill) = self.fills.get(&key) else { return };
-        let Some(shape) = self.versions.get(fill.version).cloned() else {
+        let planned = self.planned.as_ref().filter(|planned| planned.version() == fill.version);
+        let Some(shape) = planned.or(self.versions.get(fill.version)).cloned() else {
             return self.fail(key, Remark::SourceLost);
         };
         let me = self.me(&shape);
@@ -694,7 +759,10 @@
         avoid.extend(self.fenced.iter().filter_map(|name| shape.find(name)));
         avoid.extend(self.silent_hubs(&shape));
         let next = if fill.forced { Some(Next::Archive) } else { route::next(&shape, me, key.0, &avoid) };
+        // The home has refused it for want of room: past it, the archive would be asked for what is worth least.
+        let refused = self.fills.get(&key).and_then(|fill| fill.come).is_some_and(|come| come > now);
         match next {
+            Some(Next::Archive) if refused => self.fail(key, Remark::SourceLost),
             Some(Next::Hub(hub)) => self.wait_on(key, hub, path, &shape, now),
             Some(Next::Archive) => self.reach_archive(key, me, &shape, now),
             None => self.fail(key, Remark::SourceLost),
@@ -940,6 +1008,15 @@
     /// Ends a fill that no way is left for. Each of those who wait hears it at once.
     fn fail(&mut self, key: Key, remark: Remark) {
         let Some(fill) = self.end(key) else { return };
+        // It was refused above for want of room, and never ran: so it is refused here, until that time.
+        if let Some(come) = fill.come.filter(|_| remark == Remark::SourceLost) {
+            // From when its last pull went out: a little later than it was told, and never earlier.
+            let after = come.since(fill.sent);
+            for waiter in &fill.waiters {
+                self.refuse_until(waiter.conn, waiter.id, waiter.ours.then_some(after));
+            }
+            return;
+        }
         let word = match remark {
             Remark::SourceLacks => Word::Lacks,
             // Nothing was sent anywhere: a hub that knows no shape yet.
@@ -1054,30 +1131,80 @@
             let to = there.get(self.asked_next % there.len().max(1)).and_then(|at| peer(&shape, *at));
             let (Some(to), Some(number)) = (to, self.sight.asks(site, now)) else { continue };
             self.last_pull += 1;
-            self.asks.insert(self.last_pull, (site.into(), number));
+            self.asks.insert(self.last_pull, (to.name.clone(), site.into(), number));
             self.orders.push(Order::Look { ask: self.last_pull, to });
         }
         // What waits for longer was counted as silence already.
         let oldest = self.last_pull.saturating_sub(MOST_ASKS);
         self.asks.retain(|ask, _| *ask >= oldest);
+        self.stand_by(now);
+    }
+
+    /// Somebody at another site has answered; what it misses itself counts as its word.
+    fn seen(&mut self, ask: PullNo, leaving: bool, unseen: &[String], now: Moment) {
+        let Some((hub, site, number)) = self.asks.remove(&ask) else { return };
+        self.sight.answered(&site, number, leaving, now);
+        let Some(shape) = self.versions.newest() else { return };
+        let others = shape.sites().into_iter().filter(|other| *other != site);
+        let sightings = others.map(|other| Sighting {
+            site: other.into(),
+            unanswered: if unseen.iter().any(|name| name == other) { SILENCE } else { 0 },
+            known: true,
+            slowness: 1.0,
+            leaving: false,
+        });
+        let sightings = sightings.collect();
+        self.standby.hear(&hub, &site, sightings, now);
+    }
+
+    /// Sites from which it hears nothing, for whoever asks.
+    pub fn unseen(&self) -> Vec<String> {
+        let silent = self.sight.sightings().into_iter().filter(|seen| seen.unanswered >= SITE_SILENT);
+        silent.map(|seen| seen.site).collect()
     }
 
-    /// Somebody at another site has answered.
-    fn seen(&mut self, ask: PullNo, leaving: bool, now: Moment) {
-        if let Some((site, number)) = self.asks.remove(&ask) {
-            self.sight.answered(&site, number, leaving, now);
+    // While no service speaks.
+
+    fn handed(&mut self, version: u64, plans: Vec<Planned>, now: Moment) {
+        let Some(shape) = self.versions.newest().filter(|shape| shape.version() == version).cloned() else {
+            return;
+        };
+        self.standby.handed(version, shape.sites().into_iter(), plans, now);
+        self.go_by_plan();
+    }
+
+    fn service_spoke(&mut self, now: Moment) {
+        if let Some(turn) = self.standby.service_spoke(now) {
+            self.planned = None;
+            self.orders.push(Order::Turned(turn));
+        }
+    }
+
+    fn stand_by(&mut self, now: Moment) {
+        let sightings = self.sight.sightings();
+        let (name, site) = (self.name.clone(), self.site.clone());
+        self.standby.hear(&name, &site, sightings, now);
+        let turn = self.standby.beat(now).filter(|_| !self.alone);
+        if let Some(turn) = turn {
+            self.go_by_plan();
+            self.orders.push(Order::Turned(turn));
         }
     }
 
+    /// The newest version with the ties that the plan names for this hub.
+    fn go_by_plan(&mut self) {
+        self.planned = self.versions.newest().and_then(|shape| {
+            let ties = self.standby.ties()?;
+            let ties: Vec<PlaceIx> = ties.iter().filter_map(|tie| shape.find(tie)).collect();
+            let me = shape.find(&self.name).filter(|_| !ties.is_empty())?;
+            Some(shape.with_ties(shape.version(), [(me, ties.as_slice())]))
+        });
+    }
+
     /// Hubs of sites from which nothing is heard: to ask them one by one would cost a time-out each.
     fn silent_hubs(&self, shape: &Shape) -> Vec<PlaceIx> {
-        let silent: Vec<String> = self
-            .sight
-            .sightings()
-            .into_iter()
-            .filter(|seen| seen.unanswered >= SITE_SILENT)
-            .map(|seen| seen.site)
-            .collect();
+        let mut silent = self.unseen();
+        silent.extend(self.standby.without().iter().cloned());
         if silent.is_empty() {
             return Vec::new();
         }
@@ -1143,5 +1270,5 @@
         if still_good { (Word::StillGood, Bytes::new()) } else { (Word::Good, copy.body.clone()) };
     let dated_ms = copy.dated.micros() / 1_000;
     let tag = CopyTag { digest: copy.digest.clone(), dated_ms, group: copy.group.filter(|_| ours) };
-    Given { id, word, remark, first_ms, copy: Some(tag), body }
+    Given { id, word, remark, first_ms, copy: Some(tag), body, come_ms: None }
 }
--- a/crates/hub/src/net/down.rs
+++ b/crates/hub/src/net/down.rs
@@ -1,6 +1,6 @@
 //! Connections from below. Each has a reader, which stops while too much is open or unsent, and a writer; one sweep
 //! ends those that stall. Noise ends its own connection and nothing else.
-use super::{Shared, WHO};
+use super::Shared;
 use crate::desk::{ConnNo, News};
 use crate::start::Limits;
 use async_channel::Sender;
@@ -11,6 +11,7 @@
 use harestage_wire::Packet;
 use harestage_wire::fields::Hex;
 use harestage_wire::node::{self, Given, ToNode};
+use harestage_wire::peer::{self, LOOK, WHO};
 use harestage_wire::resp::{Bounds, Decoder};
 use slog::{Logger, info, warn};
 use std::cell::{Cell, RefCell};
@@ -248,7 +249,12 @@
             }
             ToNode::Chase(chase) => News::Chased(chase),
             ToNode::Health(tag) => {
-                below.queue(line, node::write_state(&tag, true, None, None));
+                below.queue(line, node::write_state(&tag, !below.shared.leaving.get(), None, None));
+                continue;
+            }
+            ToNode::Gauges(tag) if tag.starts_with(LOOK) => {
+                let unseen = below.shared.desk.borrow().unseen();
+                below.queue(line, peer::write_seen(&tag, below.shared.leaving.get(), &unseen));
                 continue;
             }
             ToNode::Gauges(tag) => {
--- a/crates/hub/src/net/mod.rs
+++ b/crates/hub/src/net/mod.rs
@@ -2,7 +2,6 @@
 //! queue. Nothing here decides.
 mod down;
 mod follow;
-mod purge_service;
 mod purges;
 mod up;
 
@@ -12,19 +11,23 @@
 use async_io::{Async, Timer};
 use event_listener::Event;
 use futures_lite::future::or;
+use harestage_following::{self as following, control};
+use harestage_sites::ration::Tally;
+use harestage_sites::standby::Turn;
+use harestage_sockets::Spawner;
 use harestage_sockets::clock::Clock;
-use harestage_sockets::lines::{within, write_text};
-use harestage_sockets::{Spawner, Stream};
 use slog::{Logger, info, warn};
 use std::cell::{Cell, RefCell};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpListener};
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
-/// The tag under which a hub asks another what it calls itself.
-const WHO: &[u8] = b"hub-who";
-/// The same for a hub that asks another site whether it is there; a number follows.
-const LOOK: &[u8] = b"hub-look-";
+/// A hub that is told to end says so to whoever asks, and answers what it has under way, for as long at most.
+const LEAVES_WITHIN: Duration = Duration::from_millis(1_500);
+/// And for as long at least, so that others hear of it.
+const LEAVES_AFTER: Duration = Duration::from_millis(350);
+/// How often what was refused is told, where anything was.
+const TELLS_REFUSED: Duration = Duration::from_millis(500);
 
 /// What other tasks may ask of the desk, between two of its turns.
 pub(crate) struct Shared {
@@ -34,6 +37,8 @@
     /// News of the service of purges that the desk has taken in: only then may they be confirmed.
     pub purges_taken: Cell<u64>,
     pub purges_were_taken: Event,
+    /// It was told to end.
+    pub leaving: Cell<bool>,
 }
 
 /// A hub that listens already, so that whoever started it knows its address.
@@ -84,6 +89,7 @@
         name: start.name.clone(),
         purges_taken: Cell::new(0),
         purges_were_taken: Event::new(),
+        leaving: Cell::new(false),
     });
     let limits = Rc::new(start.limits);
     let (inbox, news) = async_channel::bounded(limits.inbox);
@@ -93,23 +99,56 @@
     spawner.spawn(down::listen(below.clone(), listener, spawner.clone()));
     spawner.spawn(down::sweep(below.clone()));
     if !start.controls.is_empty() {
-        let (limits, inbox, controls) = (limits.clone(), inbox.clone(), start.controls.clone());
-        let follower = follow::Follower { limits, shared: shared.clone(), inbox, log: log.clone(), controls };
-        spawner.spawn(follow::follow(follower));
+        let hub = follow::Hub { shared: shared.clone(), inbox: inbox.clone() };
+        spawner.spawn(control::follow(hub, start.controls.clone(), limits.line(), log.clone()));
     }
     if let Some(feed) = start.feed {
         spawner.spawn(purges::follow(feed, limits.clone(), inbox.clone(), log.clone()));
     }
     if !start.purges.is_empty() {
-        spawner.spawn(purge_service::follow(start.purges, shared.clone(), limits, inbox, log.clone()));
+        let hands = follow::Hands { shared: shared.clone(), inbox, handed: 0, knows: false };
+        let (name, services, line, log) = (start.name.clone(), start.purges, limits.line(), log.clone());
+        // No other start of this member has this number: clocks go on between two of them.
+        let number = clock.now().micros();
+        spawner.spawn(async move {
+            following::purges::follow(&name, number, services, line, hands, log).await;
+        });
     }
+    spawner.spawn(tell_refused(shared.clone(), log.clone()));
+    let leaving = shared.clone();
     let stopped = async {
         let _ = stop.recv().await;
+        leave(&leaving).await;
     };
     or(turns(shared, news, below, above, log.clone()), stopped).await;
     info!(log, "ended"; "hub" => &start.name);
 }
 
+/// Goes down in order: others hear of it, and what is under way is answered.
+async fn leave(shared: &Shared) {
+    shared.leaving.set(true);
+    let begun = Instant::now();
+    Timer::after(LEAVES_AFTER).await;
+    while shared.desk.borrow().fills() > 0 && begun.elapsed() < LEAVES_WITHIN {
+        Timer::after(LEAVES_AFTER / 8).await;
+    }
+}
+
+/// Says what was refused for want of room, where anything was.
+async fn tell_refused(shared: Rc<Shared>, log: Logger) {
+    let mut before = Tally::default();
+    loop {
+        Timer::after(TELLS_REFUSED).await;
+        let tally = shared.desk.borrow().refused();
+        if tally.refused > before.refused {
+            info!(log, "refused"; "refused" => tally.refused - before.refused,
+                "taken" => tally.taken - before.taken, "second_tries" => tally.second_tries - before.second_tries,
+                "out_of_order" => tally.out_of_order - before.out_of_order);
+            before = tally;
+        }
+    }
+}
+
 /// One turn for all that has come; the desk is free for others between turns only.
 async fn turns(
     shared: Rc<Shared>,
@@ -147,6 +186,11 @@
                 Order::Cancel { pull } => above.cancel(pull),
                 Order::Chase { to, chase } => above.chase(&to, &chase),
                 Order::Look { ask, to } => above.look(&to, ask),
+                Order::Turned(Turn::Back) => info!(log, "goes by its version again"),
+                Order::Turned(Turn::Without { lost, planned }) => {
+                    let lost = lost.into_iter().collect::<Vec<_>>().join(" ");
+                    warn!(log, "goes without a site, with no service"; "lost" => lost, "planned" => planned);
+                }
                 Order::Broke(knot) => {
                     let (path, object) = (knot.path.join(" -> "), format!("{:016x}", knot.key.0));
                     let waited_ms = knot.waited.as_micros() as f64 / 1e3;
@@ -157,13 +201,3 @@
         }
     }
 }
-
-/// Connects, and says the first line.
-async fn subscribe(to: SocketAddr, hello: &[u8], time: Duration) -> Result<Stream, String> {
-    within(time, "not up in time", async {
-        let stream = Async::<TcpStream>::connect(to).await.map_err(|why| why.to_string())?;
-        write_text(&stream, hello, time).await?;
-        Ok(stream)
-    })
-    .await
-}
--- a/crates/hub/src/net/purges.rs
+++ b/crates/hub/src/net/purges.rs
@@ -1,12 +1,12 @@
 //! Hears of purges from a control feed in the platform's form, as routers do. What it tells of caches is not a hub's
 //! concern. A hub that starts holds nothing, so that no purge from before its start concerns it; after a break it asks
 //! for all that it missed.
-use super::subscribe;
 use crate::desk::News;
 use crate::start::Limits;
 use crate::store::Named;
 use async_channel::Sender;
 use async_io::Timer;
+use harestage_following::subscribe;
 use harestage_sockets::clock::unix_ms;
 use harestage_sockets::lines::{Lines, within};
 use harestage_wire::feed::{self, Line, Told, read_line};
--- a/crates/hub/src/net/up.rs
+++ b/crates/hub/src/net/up.rs
@@ -1,17 +1,17 @@
 //! Connections to what a hub fills from: one each, so that a chase never overtakes the pull that it follows. Its end
 //! tells all that is open on it; a source that owes answers and says nothing for long is taken for gone.
-use super::{LOOK, WHO};
 use crate::desk::{Ask, News, Peer, PullNo};
 use crate::start::Limits;
 use async_channel::Sender;
 use async_io::{Async, Timer};
 use event_listener::Event;
 use futures_lite::future::or;
+use harestage::time::Span;
 use harestage_sockets::{Source, Spawner, Stream, write_packets};
 use harestage_wire::Packet;
 use harestage_wire::fields::{self, Hex};
-use harestage_wire::node::{self, Request};
-use harestage_wire::peer::{self, Chase};
+use harestage_wire::node::{self, Request, Word};
+use harestage_wire::peer::{self, Chase, LOOK, WHO};
 use harestage_wire::resp::{Bounds, Decoder};
 use slog::{Logger, info, warn};
 use std::cell::{Cell, RefCell};
@@ -26,6 +26,8 @@
 /// On a connection that is not up yet.
 const MOST_QUESTIONS: usize = 8;
 const IDLE: Duration = Duration::from_secs(20);
+/// What a source says of when to come again is believed up to here.
+const LONGEST_COME_MS: u64 = 60_000;
 
 struct Queued {
     pull: Option<PullNo>,
@@ -206,10 +208,9 @@
         }
         if let Some(ask) = items.first().and_then(|tag| tag.strip_prefix(LOOK)) {
             let ask = std::str::from_utf8(ask).ok().and_then(|ask| ask.parse().ok());
-            let leaving = items.get(1).is_some_and(|word| word.as_ref() == b"AILING");
-            if let Some(ask) = ask {
+            if let Some((ask, (leaving, unseen))) = Option::zip(ask, peer::read_seen(&items)) {
                 wire.used.set(Instant::now());
-                let _ = common.inbox.send(News::Seen { ask, leaving }).await;
+                let _ = common.inbox.send(News::Seen { ask, leaving, unseen }).await;
             }
             continue;
         }
@@ -218,6 +219,10 @@
         wire.used.set(Instant::now());
         if wire.open.borrow_mut().remove(&pull).is_some() {
             let copy = node::read_copy(&items);
+            if let Some(come_ms) = peer::read_come(&items).filter(|_| answer.word == Word::Full) {
+                let after = Span::millis(come_ms.min(LONGEST_COME_MS));
+                let _ = common.inbox.send(News::ComeAgain { pull, after }).await;
+            }
             let _ = common.inbox.send(News::Answered { pull, answer, copy }).await;
         }
     }
--- a/crates/hub/src/start.rs
+++ b/crates/hub/src/start.rs
@@ -191,6 +191,17 @@
 }
 
 impl Limits {
+    /// Times and sizes of the lines to services.
+    pub fn line(&self) -> harestage_following::Line {
+        harestage_following::Line {
+            connect: self.connect,
+            silence: self.control_silence,
+            pause: self.control_pause,
+            report_every: self.report_every,
+            bytes: self.line_bytes,
+        }
+    }
+
     /// The bodies that the platform's protocol allows, at most.
     const BODY: usize = 240_000;
     const WRITE: usize = 48_000;
--- a/crates/hub/tests/desks.rs
+++ b/crates/hub/tests/desks.rs
@@ -153,7 +153,7 @@
 
     fn carry_out(&mut self, name: &str, order: Order) {
         match order {
-            Order::Look { .. } => {}
+            Order::Look { .. } | Order::Turned(_) => {}
             Order::Answer { conn, given } => match self.pulls.remove(&(name.into(), given.id)) {
                 Some((puller, pull)) => {
                     let answer = Answer {
--- a/crates/hub/tests/rationing.rs
+++ b/crates/hub/tests/rationing.rs
@@ -185,3 +185,44 @@
     let answered = bed.became.len() as f64;
     assert!(answered >= firsts * 0.99, "each hears at once what became of it: {answered}");
 }
+
+/// A hub below that is refused hears when to come again, and tells those who wait below it; a cache is told nothing that
+/// its protocol has no word for.
+#[test]
+fn a_hub_that_was_refused_tells_hubs_below_when_to_come_again() {
+    use harestage_wire::peer::Way;
+    let mut bed = Bed::new("east", shape(vec![hub("b", "west", 1e4)]));
+    let ask = |no: u64, way: Option<Way>| {
+        let mut asked = asked(no, "clip", 7);
+        asked.way = way;
+        News::Asked { conn: no, asked }
+    };
+    let way = Way { path: vec!["low".into()], version: 1, hand_over: false };
+    let orders = bed.desk.step(bed.at(), [ask(1, Some(way)), ask(2, None)].into_iter());
+    let pull = orders.iter().find_map(|order| match order {
+        Order::Pull { pull, to, .. } if to.name == "b" => Some(*pull),
+        _ => None,
+    });
+    let pull = pull.expect("it asks the object's home");
+    bed.ms += 5;
+    let answer = Answer {
+        id: Hex::of(pull),
+        word: Word::Full,
+        remark: Remark::NoPlace,
+        first_ms: 0.0,
+        body: Bytes::new(),
+    };
+    let news =
+        [News::ComeAgain { pull, after: Span::millis(700) }, News::Answered { pull, answer, copy: None }];
+    let orders = bed.desk.step(bed.at(), news.into_iter());
+    let to_archive =
+        orders.iter().any(|order| matches!(order, Order::Pull { to, .. } if to.name == "archive"));
+    assert!(!to_archive, "what the home refuses for want of room is not asked of the archive past it");
+    let given = |no: u64| {
+        orders.iter().find_map(|order| match order {
+            Order::Answer { conn, given } if *conn == no => Some((given.word, given.come_ms)),
+            _ => None,
+        })
+    };
+    assert_eq!((given(1), given(2)), (Some((Word::Full, Some(705))), Some((Word::Full, None))));
+}
--- a/crates/measure/src/lib.rs
+++ b/crates/measure/src/lib.rs
@@ -1,6 +1,7 @@
 //! Rigs on loopback, hubs and the control service as they run between stand-ins for everything else, and each area's
 //! measurement beside its baseline.
 pub mod branch;
+pub mod effects;
 pub mod plain;
 pub mod purge;
 pub mod rig;
--- a/crates/measure/src/script.rs
+++ b/crates/measure/src/script.rs
@@ -63,7 +63,7 @@
     /// Tells each member the shape that is its own.
     pub fn tell(&self, shape_of: impl Fn(&str) -> ShapeForm) {
         for (name, stream) in self.members.lock().expect("no holder panics").iter() {
-            let version = ToMember::Version { term: 1, shape: Box::new(shape_of(name)) };
+            let version = ToMember::Version { term: 1, shape: Box::new(shape_of(name)), plans: Vec::new() };
             let mut stream: &TcpStream = stream;
             let _ = stream.write_all(&line(&version));
         }
--- a/crates/measure/src/site.rs
+++ b/crates/measure/src/site.rs
@@ -34,7 +34,7 @@
 pub fn measure(quick: bool) -> Figures {
     let mut figures = Figures::new("site");
     let times = match quick {
-        true => Times { kill: 7_000, back: 12_000, end: 17_500 },
+        true => Times { kill: 6_000, back: 10_500, end: 15_500 },
         false => Times { kill: 8_000, back: 18_000, end: 42_000 },
     };
     let binary = match program() {
@@ -48,7 +48,9 @@
     let before = play(Way::Before, times, &binary);
     let naive = play(Way::Naive, times, &binary);
     report(&planned, &before, &naive, times, &mut figures);
+    scarce(&planned, &binary, &mut figures);
     plans(quick, &mut figures);
+    figures.set("states_checked", crate::effects::check(if quick { 9 } else { 11 }) as f64);
     plot(&[("planned", &planned), ("before", &before), ("naive", &naive)]);
     for (name, most) in [
         ("decide_ms_max", 2_000.0),
@@ -61,10 +63,13 @@
         ("downloads_lost", 0.0),
         ("filings_doubled", 0.0),
         ("service_away_ms_max", 3_000.0),
+        ("refused_out_of_order", 0.0),
     ] {
         figures.bound(name, most);
     }
     figures.at_least("processes", 24.0);
+    figures.at_least("refused_when_scarce", 100.0);
+    figures.at_least("states_checked", 5_000.0);
     figures.at_least("served_of_possible", 0.9);
     figures
 }
@@ -253,6 +258,29 @@
     figures.set("returned", f64::from(u8::from(returned)));
 }
 
+/// Hubs that are asked for more than they can do: what they refuse, and whether anything of less worth was taken past it.
+fn scarce(planned: &Played, binary: &Path, figures: &mut Figures) {
+    let three = Three {
+        name: "scarce".into(),
+        lasts_ms: 6_000,
+        services: 1,
+        hub_capacity: 12.0,
+        rate: 40.0,
+        objects: 20_000,
+        ..Three::default()
+    };
+    let mut fleet = Fleet::launch(three.scenario(), binary).unwrap_or_else(|why| panic!("{why}"));
+    let _ = fleet.play();
+    let entries = fleet.timeline().all();
+    let sum = |entries: &[Entry], field: &str| -> f64 {
+        entries.iter().filter(|e| e.says == "refused").filter_map(|e| e.number(field)).sum()
+    };
+    figures.set("refused_when_scarce", sum(&entries, "refused"));
+    figures.set("second_tries_when_scarce", sum(&entries, "second_tries"));
+    let out_of_order = sum(&entries, "out_of_order") + sum(&planned.entries, "out_of_order");
+    figures.set("refused_out_of_order", out_of_order);
+}
+
 /// Plans for every site and pair of a large fleet, after a change of a few branches, beside a full solve by plain means.
 fn plans(quick: bool, figures: &mut Figures) {
     let (branches, hubs, sites) = if quick { (2_000, 120, 12) } else { (10_000, 500, 12) };
--- a/crates/measure/src/three.rs
+++ b/crates/measure/src/three.rs
@@ -21,8 +21,12 @@
     pub rate: f64,
     pub objects: u64,
     pub comes_again: u32,
+    /// Part of what is asked for that is filings, against 10 of all else.
+    pub filings: f64,
     pub surge: Option<Value>,
     pub purges: bool,
+    /// Each branch has a feed of its own, which stands at the branch.
+    pub own_feeds: bool,
     /// Whether hubs say where they are: without it nobody can say that a site is lost.
     pub knows_sites: bool,
     /// Each hub runs on a machine that bears so much, warms up, and falls over.
@@ -46,8 +50,10 @@
             rate: 30.0,
             objects: 400,
             comes_again: 2,
+            filings: 0.3,
             surge: None,
             purges: false,
+            own_feeds: false,
             knows_sites: true,
             machines: false,
             eager: false,
@@ -112,7 +118,8 @@
         let branches = SITES.iter().enumerate().map(|(n, site)| {
             let next = SITES[(n + 1) % SITES.len()];
             let caches = json!([{"name": format!("s-{n}"), "address": format!("@edge-{site}")}]);
-            let feeds: Map<String, Value> = (1..=self.services)
+            let members = if self.own_feeds { 0 } else { self.services };
+            let feeds: Map<String, Value> = (1..=members)
                 .map(|n| (self.member(n), json!(format!("!{}/{}", control(n), branch(site)))))
                 .collect();
             json!({"name": branch(site), "site": if self.knows_sites { site } else { "" }, "load": self.rate, "hubs": [hub(site, 1), hub(next, 1)],
@@ -138,6 +145,9 @@
         }
         for (n, site) in SITES.iter().enumerate() {
             processes.push(self.edge(site));
+            if self.own_feeds {
+                processes.push(self.feed(site));
+            }
             processes.extend((1..=self.routers_a_branch).map(|r| self.router(site, r)));
             processes.push(self.crowd(n, site));
         }
@@ -236,10 +246,24 @@
         process(&name, &branch(site), Runs::Standin, file)
     }
 
+    /// The branch's own feed.
+    fn feed(&self, site: &str) -> ProcessForm {
+        let name = format!("feed-{site}");
+        let of = |of: &str| (1..=self.services).map(|n| format!("@{of}-{n}")).collect::<Vec<_>>();
+        let mut file = json!({"name": name, "branch": branch(site), "listen": format!("!{name}"),
+            "controls": of("control")});
+        if self.purges {
+            file["purge_services"] = json!(of("purges"));
+        }
+        process(&name, &branch(site), Runs::Feed, file)
+    }
+
     fn router(&self, site: &str, n: usize) -> ProcessForm {
         let name = format!("router-{site}-{n}");
-        let feeds: Vec<String> =
-            (1..=self.services).map(|c| format!("@{}/{}", control(c), branch(site))).collect();
+        let feeds: Vec<String> = match self.own_feeds {
+            true => vec![format!("@feed-{site}")],
+            false => (1..=self.services).map(|c| format!("@{}/{}", control(c), branch(site))).collect(),
+        };
         let file = json!({"name": name, "listen": format!("!{name}"), "seed": format!("{:016x}", 77 + n as u64),
             "feed": feeds[0], "limits": {"memory_mb": 96, "sockets": 512},
             "known": {"n": 0, "events": []}, "settings": settings(self.routers_a_branch, self.patience)});
@@ -256,7 +280,7 @@
             "contents": [
                 {"name": "clip", "share": 6, "waits_ms": 3_000 * self.patience, "target_ms": 600 * self.patience, "benefit": 2},
                 {"name": "page", "share": 4, "waits_ms": 2_000 * self.patience, "target_ms": 400 * self.patience},
-                {"name": "filing", "share": 0.3, "waits_ms": 3_000 * self.patience, "target_ms": 700 * self.patience, "benefit": 3, "filing": true}]});
+                {"name": "filing", "share": self.filings, "waits_ms": 3_000 * self.patience, "target_ms": 700 * self.patience, "benefit": 3, "filing": true}]});
         if let Some(surge) = &self.surge {
             crowd["surge"] = surge.clone();
         }
--- a/crates/measure/tests/shape.rs
+++ b/crates/measure/tests/shape.rs
@@ -274,7 +274,8 @@
         branches: Vec::new(),
         links: Vec::new(),
     };
-    let said = |term, version| line(&ToMember::Version { term, shape: Box::new(shape(version)) });
+    let said =
+        |term, version| line(&ToMember::Version { term, shape: Box::new(shape(version)), plans: Vec::new() });
     let (stream, _) = listener.accept().unwrap();
     let mut lines = BufReader::new(stream.try_clone().unwrap()).lines();
     assert_eq!(lines.next().unwrap().unwrap(), "SUB 0 a");
--- a/crates/shape/src/control.rs
+++ b/crates/shape/src/control.rs
@@ -51,6 +51,9 @@
     /// The shape that operators want, where the one in service leaves sites out.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub wanted: Option<ShapeForm>,
+    /// When each site was lost lately, Unix milliseconds: what flaps is held for longer, whoever leads.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub losses: BTreeMap<String, Vec<u64>>,
 }
 
 /// Where a site is on its way out of service and back; `harestage_sites` decides on it.
--- a/crates/control/src/feed.rs
+++ b/crates/shape/src/feed.rs
@@ -1,21 +1,37 @@
 //! A branch's control feed in the platform's form: its routers get the hubs that it is tied to as roster events. Each
 //! version is one event under its own number, so that routers find no gap, whatever changed.
-use harestage_shape::form::{CacheForm, HubForm};
-use harestage_shape::tree::{Place, PlaceIx, Shape};
+use crate::form::{CacheForm, HubForm, ShapeForm};
+use crate::tree::{Place, PlaceIx, Shape};
 use serde_json::{Value, json};
 
 /// The event of a version for a branch, after the two versions before it as far as they are still known; the whole list
 /// where the one before is not.
-pub fn event(long_before: Option<&Shape>, before: Option<&Shape>, now: &Shape, branch: &str) -> Vec<u8> {
+///
+/// `number` is the event's own: the version's where members of the service tell it, the connection's where a branch's own
+/// feed does.
+pub fn event(
+    number: u64,
+    long_before: Option<&Shape>,
+    before: Option<&Shape>,
+    now: &Shape,
+    branch: &str,
+) -> Vec<u8> {
     let (snapshot, mut endpoints) = match before {
         None => (true, listed(now, branch)),
         Some(before) => (false, changes(long_before.unwrap_or(before), before, now, branch)),
     };
     endpoints.sort_by(|a, b| a["name"].as_str().cmp(&b["name"].as_str()));
-    let members = json!({"index": now.version(), "snapshot": snapshot, "endpoints": endpoints});
-    let mut line = json!({"n": now.version(), "members": members}).to_string().into_bytes();
-    line.push(b'\n');
-    line
+    let members = json!({"index": number, "snapshot": snapshot, "endpoints": endpoints});
+    (json!({"n": number, "members": members}).to_string() + "\n").into_bytes()
+}
+
+/// Copies of an object, or of a group, that were given out up to then are old.
+pub fn purge(number: u64, object: Option<u64>, group: Option<u32>, at_ms: u64) -> Vec<u8> {
+    let purge = match (object, group) {
+        (Some(object), _) => json!({"key": format!("{object:016x}"), "at": at_ms}),
+        (None, group) => json!({"group": group.unwrap_or(0), "at": at_ms}),
+    };
+    (json!({"n": number, "purge": purge}).to_string() + "\n").into_bytes()
 }
 
 /// An event that says nothing: it keeps the numbers without a gap.
@@ -72,12 +88,20 @@
 }
 
 /// A hub is told a version without branches.
-pub fn for_hubs(shape: &Shape) -> harestage_shape::form::ShapeForm {
+pub fn for_hubs(shape: &Shape) -> ShapeForm {
     let mut form = shape.form();
     form.branches.clear();
     form
 }
 
+/// A branch's own feed is told a version without the other branches. None: no branch has that name.
+pub fn for_branch(shape: &Shape, branch: &str) -> Option<ShapeForm> {
+    let Place::Branch(own) = shape.place(shape.find(branch)?)? else { return None };
+    let mut form = for_hubs(shape);
+    form.branches.push(own.clone());
+    Some(form)
+}
+
 /// The branches that have a feed of their own at this member of the service, with its address.
 pub fn feeds(shape: &Shape, member: &str) -> Vec<(String, String)> {
     let feed = |(_, place): (PlaceIx, &Place)| match place {
--- a/crates/shape/src/lib.rs
+++ b/crates/shape/src/lib.rs
@@ -14,10 +14,12 @@
 //! | `parts` | how much each hub may ask of the archive |
 //! | `plan` | the steps from one version to another |
 //! | `run` | when a step goes out, is held, or is undone, and by whom |
+//! | `feed` | nothing: how a version is worded for a branch's routers |
 //! | `lines` | nothing: what is written between service, members and operators |
 //! | `control` | what the service tells whom, and what it writes down first |
 pub mod check;
 pub mod control;
+pub mod feed;
 pub mod form;
 pub mod knots;
 pub mod lines;
--- a/crates/shape/src/lines.rs
+++ b/crates/shape/src/lines.rs
@@ -5,13 +5,27 @@
 use crate::parts::Part;
 use crate::plan::Plan;
 use serde::{Deserialize, Serialize};
+use std::collections::BTreeSet;
+
+/// The ties of one place while these sites are lost together, worked out beforehand; `harestage_sites` decides on them.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Planned {
+    pub lost: BTreeSet<String>,
+    pub ties: Vec<String>,
+}
 
 /// To a member. A term that is older than one it has heard comes from a service that was replaced.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum ToMember {
-    /// A whole version, without branches: hubs need none of them.
-    Version { term: u64, shape: Box<ShapeForm> },
+    /// A whole version, without branches: hubs need none of them, and a branch's own feed only that one. With it come the
+    /// plans for this member's place, so that it can carry them out with no service reachable.
+    Version {
+        term: u64,
+        shape: Box<ShapeForm>,
+        #[serde(default, skip_serializing_if = "Vec::is_empty")]
+        plans: Vec<Planned>,
+    },
     /// The answer to a report of a hub at the top.
     Part(Part),
     /// The answer to the report of any other: the number of the newest version.
@@ -69,9 +83,24 @@
 /// The number and name of a member's first line; none for anything else.
 pub fn read_subscribe(line: &str) -> Option<(u64, &str)> {
     let (last, name) = line.strip_prefix("SUB ")?.split_once(' ')?;
+    Some((last.parse().ok()?, name)).filter(|_| is_name(name))
+}
+
+/// The first line of a branch's own feed.
+pub fn subscribe_branch(last: u64, name: &str, branch: &str) -> String {
+    format!("BRANCH {last} {name} {branch}\n")
+}
+
+/// The number, name and branch of such a line; none for anything else.
+pub fn read_subscribe_branch(line: &str) -> Option<(u64, &str, &str)> {
+    let (rest, branch) = line.strip_prefix("BRANCH ")?.rsplit_once(' ')?;
+    let (last, name) = rest.split_once(' ')?;
+    Some((last.parse().ok()?, name, branch)).filter(|_| is_name(name) && is_name(branch))
+}
+
+fn is_name(name: &str) -> bool {
     let plain = |b: u8| b.is_ascii_alphanumeric() || matches!(b, b'-' | b'_' | b'.');
-    let good = (1..=32).contains(&name.len()) && name.bytes().all(plain);
-    Some((last.parse().ok()?, name)).filter(|_| good)
+    (1..=32).contains(&name.len()) && name.bytes().all(plain)
 }
 
 /// One line, with its end.
--- a/crates/sites/src/direct.rs
+++ b/crates/sites/src/direct.rs
@@ -3,11 +3,13 @@
 //! input or output: effects come back in their order, a record before all that follows from it.
 use crate::plan::{self, Plans, SitePlan};
 use crate::sight::Sighting;
+use crate::standby;
 use crate::standing::{Ask, Standing, Standings, Step, Turned};
 use crate::watch::{Kind, View, Watch};
 use harestage::time::{Moment, Span};
 use harestage_shape::control::{Control, Effect, Entry, Record, Refused, Report, Said, SitesRecord, Status};
 use harestage_shape::form::ShapeForm;
+use harestage_shape::lines::Planned;
 use harestage_shape::parts::Part;
 use harestage_shape::tree::Shape;
 use serde::{Deserialize, Serialize};
@@ -51,6 +53,8 @@
     last_beat: Moment,
     /// Since when each site's hubs count as started: they come back with nothing.
     since_ms: BTreeMap<String, u64>,
+    /// What places are handed with a version: what is done when a site, or a pair, goes beside those that are out.
+    handed: Vec<SitePlan>,
 }
 
 impl Director {
@@ -66,6 +70,7 @@
             _ => None,
         });
         let kept = kept.unwrap_or_default();
+        let losses = kept.losses.clone();
         let wanted = kept.wanted.as_ref().and_then(|form| control.shape().followed_by(form).ok());
         let wanted = wanted.unwrap_or_else(|| control.shape().clone());
         let names: Vec<String> = sites_of(&wanted);
@@ -81,9 +86,13 @@
             standings.enter(&Turned { site, to, why: String::new() }, now);
         }
         let plans = Plans::of(&wanted, None, true, now);
-        let watch = Watch::new(names.iter().map(String::as_str), now);
-        let (heard, since_ms) = (BTreeMap::new(), BTreeMap::new());
-        Ok((Director { control, watch, standings, plans, wanted, heard, last_beat: now, since_ms }, effects))
+        let mut watch = Watch::new(names.iter().map(String::as_str), now);
+        watch.recall(&losses, now);
+        let (heard, since_ms, handed) = (BTreeMap::new(), BTreeMap::new(), Vec::new());
+        let mut director =
+            Director { control, watch, standings, plans, wanted, heard, last_beat: now, since_ms, handed };
+        director.hand_plans(now);
+        Ok((director, effects))
     }
 
     pub fn control(&self) -> &Control {
@@ -98,6 +107,20 @@
         self.standings.of(site)
     }
 
+    /// The plans for a place, to be handed to it with the version in service.
+    pub fn handed(&self, place: &str) -> Vec<Planned> {
+        standby::for_place(place, self.handed.iter())
+    }
+
+    /// A plan that is handed out leaves out also those that are out already, whatever it is that is lost.
+    fn hand_plans(&mut self, now: Moment) {
+        let out = self.standings.out();
+        self.handed = match out.is_empty() {
+            true => self.plans.all().cloned().collect(),
+            false => plan::beside(&self.wanted, &out, now),
+        };
+    }
+
     /// A hub has reported; it gets its part of the archive.
     pub fn hear(&mut self, hub: &str, report: &Report, now: Moment) -> (Option<Part>, Vec<Effect>) {
         if !report.site.is_empty() && (self.heard.len() < MOST_SITES || self.heard.contains_key(&report.site))
@@ -175,6 +198,7 @@
     /// Writes a standing down, says it, and does what follows.
     fn turn(&mut self, turned: Turned, step: Option<Step>, now: Moment) -> Vec<Effect> {
         self.standings.enter(&turned, now);
+        self.hand_plans(now);
         let said = Said::Site { site: turned.site.clone(), is: turned.to, why: turned.why.clone() };
         let mut effects = vec![self.sites_record(), Effect::Say(said)];
         match step {
@@ -187,8 +211,8 @@
 
     fn sites_record(&self) -> Effect {
         let standings = self.standings.all().map(|(site, standing)| (site.to_string(), *standing)).collect();
-        let wanted = Some(self.wanted.form());
-        self.control.note(Entry::Sites(Box::new(SitesRecord { standings, wanted })))
+        let (wanted, losses) = (Some(self.wanted.form()), self.watch.remembered());
+        self.control.note(Entry::Sites(Box::new(SitesRecord { standings, wanted, losses })))
     }
 
     /// By the plan that was made beforehand, or one made now for more sites than any was made for.
@@ -260,6 +284,7 @@
         self.standings.set_sites(names.iter().map(String::as_str));
         self.watch.set_sites(names.iter().map(String::as_str), now);
         self.plans = Plans::of(&self.wanted, Some(&self.plans), true, now);
+        self.hand_plans(now);
         effects.push(self.sites_record());
         Ok(effects)
     }
--- a/crates/sites/src/lib.rs
+++ b/crates/sites/src/lib.rs
@@ -5,6 +5,7 @@
 //! - [`plan`]: where the load of each site, and of each pair, goes when it is lost; made beforehand for every version.
 //! - [`ration`]: what is refused first where not all fits, and when those who were refused may come again.
 //! - [`budget`]: how many repeated attempts a process may add to what is asked of it anyway.
+//! - [`standby`]: what a hub or a branch does about a loss while no service speaks.
 //! - [`direct`]: the control service's state machine with all of this.
 //! - [`standing`]: a site's way from its loss back into service, and the steps of an evacuation.
 pub mod budget;
@@ -12,5 +13,6 @@
 pub mod plan;
 pub mod ration;
 pub mod sight;
+pub mod standby;
 pub mod standing;
 pub mod watch;
--- a/crates/sites/src/plan.rs
+++ b/crates/sites/src/plan.rs
@@ -108,6 +108,24 @@
     }
 }
 
+/// Plans for each site and each pair, each beside those that are out already; `lost` names only what is lost then.
+pub fn beside(shape: &Shape, out: &BTreeSet<String>, now: Moment) -> Vec<SitePlan> {
+    let base = Base::of(shape, now);
+    let left: Vec<&String> = base.sites.iter().filter(|s| !s.is_empty() && !out.contains(*s)).collect();
+    let mut losses: Vec<BTreeSet<String>> =
+        left.iter().map(|site| BTreeSet::from([site.to_string()])).collect();
+    for (n, a) in left.iter().enumerate() {
+        losses.extend(left[n + 1..].iter().map(|b| BTreeSet::from([a.to_string(), b.to_string()])));
+    }
+    let planned = losses.into_iter().flat_map(|lost| {
+        let plan = base.plan(&lost.union(out).cloned().collect());
+        // One that was out for being lost may be seen as lost too, by whoever carries it out.
+        let alone = SitePlan { lost: lost.iter().cloned().collect(), ..plan.clone() };
+        [alone, plan]
+    });
+    planned.collect()
+}
+
 /// The plan for any set of sites, made now.
 pub fn plan(shape: &Shape, lost: &BTreeSet<String>, now: Moment) -> SitePlan {
     Base::of(shape, now).plan(lost)
--- a/crates/sites/src/ration.rs
+++ b/crates/sites/src/ration.rs
@@ -7,7 +7,8 @@
 //! come back in a wave.
 use harestage::ring::Ring;
 use harestage::time::{Moment, Span};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashSet};
+use std::hash::{DefaultHasher, Hash, Hasher};
 
 /// Ranks by benefit for a unit, each twice the one below it; and as many again for second tries, all below the first.
 const STEPS: usize = 24;
@@ -26,6 +27,10 @@
 const AGAIN: (Span, Span) = (Span::millis(400), Span::millis(10_000));
 /// Past the room by so much nothing is taken, whatever the line says: it is laid by what was asked for before.
 const OVERDRAFT: f64 = 1.15;
+/// Whoever was refused and asks again within as long makes a second try.
+const SECOND_WITHIN: Span = Span::millis(8_000);
+/// Refusals that are remembered in each half of that time.
+const MOST_REFUSALS: usize = 8_192;
 
 /// A download that would like to be taken.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -79,6 +84,65 @@
     /// Units a second that a branch may have at the line's rank.
     level: f64,
     next: Moment,
+    /// The best rank that was refused for want of room in this beat: nothing below it is taken any more.
+    full_for: Option<usize>,
+    tally: Tally,
+}
+
+/// What was decided since the start.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Tally {
+    pub taken: u64,
+    pub refused: u64,
+    pub second_tries: u64,
+    /// Taken though something of more worth had been refused for want of room within the same beat.
+    pub out_of_order: u64,
+}
+
+/// What was refused lately, in two halves of a time: the older half is forgotten at once. Bounded; past the bound a second
+/// try passes for a first one.
+#[derive(Clone, Debug)]
+pub struct Refusals {
+    halves: [HashSet<u64>; 2],
+    turned: Moment,
+}
+
+impl Refusals {
+    pub fn new(now: Moment) -> Refusals {
+        Refusals { halves: Default::default(), turned: now }
+    }
+
+    fn turn(&mut self, now: Moment) {
+        let half = Span::micros(SECOND_WITHIN.as_micros() / 2);
+        if now.since(self.turned) >= half {
+            let both = now.since(self.turned) >= SECOND_WITHIN;
+            self.halves.swap(0, 1);
+            self.halves[0].clear();
+            if both {
+                self.halves[1].clear();
+            }
+            self.turned = now;
+        }
+    }
+
+    fn key(of: &impl Hash) -> u64 {
+        let mut hasher = DefaultHasher::new();
+        of.hash(&mut hasher);
+        hasher.finish()
+    }
+
+    pub fn note(&mut self, of: &impl Hash, now: Moment) {
+        self.turn(now);
+        if self.halves[0].len() < MOST_REFUSALS {
+            self.halves[0].insert(Refusals::key(of));
+        }
+    }
+
+    pub fn has(&mut self, of: &impl Hash, now: Moment) -> bool {
+        self.turn(now);
+        let key = Refusals::key(of);
+        self.halves.iter().any(|half| half.contains(&key))
+    }
 }
 
 /// The rank of a download, higher is better.
@@ -100,6 +164,8 @@
             by_branch: BTreeMap::new(),
             level: f64::INFINITY,
             next: now,
+            full_for: None,
+            tally: Tally::default(),
         }
     }
 
@@ -112,25 +178,42 @@
         self.line
     }
 
+    pub fn tally(&self) -> Tally {
+        self.tally
+    }
+
     /// Decides on a download. `chance` is drawn evenly from 0 to 1.
     pub fn ask(&mut self, want: &Want, chance: f64, now: Moment) -> Answer {
         let rank = rank(want);
         self.asked[rank].add(now, want.takes);
         if now >= self.next {
             self.next = now + BEAT;
+            self.full_for = None;
             self.lay(now);
         }
+        self.tally.second_tries += u64::from(want.second_try);
         if rank == self.line.rank && self.room.is_some() {
             self.note(want, now);
         }
         let takes = match self.room {
             None => true,
-            Some(room) => self.above(want, rank, chance, now) && self.taken.sum(now) < room * OVERDRAFT,
+            Some(room) => {
+                let full = self.taken.sum(now) >= room * OVERDRAFT;
+                if full && rank > self.line.rank {
+                    self.full_for = self.full_for.max(Some(rank));
+                }
+                let above = self.above(want, rank, chance, now);
+                // What was taken drops out of the window between two beats: that room is not for lesser ones.
+                above && !full && self.full_for.is_none_or(|best| rank >= best)
+            }
         };
         if takes {
+            self.tally.taken += 1;
+            self.tally.out_of_order += u64::from(self.full_for.is_some_and(|best| rank < best));
             self.taken.add(now, want.takes);
             return Answer::Taken;
         }
+        self.tally.refused += 1;
         self.refused.add(now, want.takes);
         Answer::ComeAgain(self.again(chance, now))
     }
--- /dev/null
+++ b/crates/sites/src/standby.rs
@@ -0,0 +1,140 @@
+//! What a hub or a branch does about a lost site while no service speaks. It was handed the plans for its own place with
+//! each version, before anything failed; it goes by one of them when the service has been away for longer than a change of
+//! its leader takes, and witnesses of more than one site hear nothing of a site. It goes back to the version as it stands
+//! only when a service speaks again: a site that comes back is cold, and nobody else could pace its way back.
+use crate::plan::SitePlan;
+use crate::sight::Sighting;
+use crate::watch::{Kind, View, Watch};
+use harestage::time::{Moment, Span};
+pub use harestage_shape::lines::Planned;
+use std::collections::BTreeSet;
+
+/// No service has spoken for as long: whoever takes it over after a loss needs less.
+pub const AWAY: Span = Span::millis(2_000);
+/// Beats further apart than this: the process itself did not run, and has heard nobody for that reason alone.
+const ASLEEP: Span = Span::millis(700);
+/// Plans that one place is handed at most: each site and each pair of 24.
+pub const MOST_PLANS: usize = 300;
+
+/// What a place is handed with a version: a plan for each loss that takes a tie from it. What is not named leaves its
+/// ties as they are.
+pub fn for_place<'a>(place: &str, plans: impl Iterator<Item = &'a SitePlan>) -> Vec<Planned> {
+    let planned = plans.filter(|plan| !plan.all_lost).filter_map(|plan| {
+        let ties = plan.ties.get(place)?.clone();
+        Some(Planned { lost: plan.lost.iter().cloned().collect(), ties })
+    });
+    planned.take(MOST_PLANS).collect()
+}
+
+/// What has changed of what a place goes by.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Turn {
+    /// It goes by the plan for these; by its own order of ties where nobody made one.
+    Without { lost: BTreeSet<String>, planned: bool },
+    /// A service speaks: its version holds as it is.
+    Back,
+}
+
+/// One place's readiness.
+pub struct Standby {
+    watch: Watch,
+    sites: BTreeSet<String>,
+    version: u64,
+    plans: Vec<Planned>,
+    /// When a service spoke last.
+    spoke: Moment,
+    last_beat: Moment,
+    /// The sites that it goes without.
+    without: BTreeSet<String>,
+}
+
+impl Standby {
+    pub fn new(now: Moment) -> Standby {
+        Standby {
+            watch: Watch::new(std::iter::empty(), now),
+            sites: BTreeSet::new(),
+            version: 0,
+            plans: Vec::new(),
+            spoke: now,
+            last_beat: now,
+            without: BTreeSet::new(),
+        }
+    }
+
+    /// A version, with the plans for this place. Plans of an older one are of no use any more: they name ties that it may
+    /// not have.
+    pub fn handed<'a>(
+        &mut self,
+        version: u64,
+        sites: impl Iterator<Item = &'a str>,
+        plans: Vec<Planned>,
+        now: Moment,
+    ) {
+        if version < self.version {
+            return;
+        }
+        let named: Vec<&str> = sites.filter(|site| !site.is_empty()).collect();
+        self.watch.set_sites(named.iter().copied(), now);
+        self.sites = named.into_iter().map(str::to_string).collect();
+        (self.version, self.plans) = (version, plans);
+        self.plans.truncate(MOST_PLANS);
+    }
+
+    /// A service has said something, whatever it was.
+    pub fn service_spoke(&mut self, now: Moment) -> Option<Turn> {
+        self.spoke = now;
+        let was = std::mem::take(&mut self.without);
+        (!was.is_empty()).then_some(Turn::Back)
+    }
+
+    /// What somebody sees of the sites: this process, or a hub that it has asked.
+    pub fn hear(&mut self, witness: &str, site: &str, sightings: Vec<Sighting>, now: Moment) {
+        self.watch.hear(witness, site, Kind::Hub, sightings, now);
+    }
+
+    /// To be called some times a second.
+    pub fn beat(&mut self, now: Moment) -> Option<Turn> {
+        if now.since(std::mem::replace(&mut self.last_beat, now)) > ASLEEP {
+            // It was stopped itself: what a service has said meanwhile is read only now.
+            self.spoke = now;
+        }
+        self.watch.beat(now);
+        if now.since(self.spoke) < AWAY {
+            return None;
+        }
+        let lost = |site: &&String| *self.watch.view(site) == View::Lost || self.without.contains(*site);
+        let lost: BTreeSet<String> = self.sites.iter().filter(lost).cloned().collect();
+        // To be tied to nobody helps nobody.
+        if lost == self.without || lost.len() == self.sites.len() {
+            return None;
+        }
+        self.without = lost.clone();
+        let planned = self.plan().is_some();
+        Some(Turn::Without { lost, planned })
+    }
+
+    /// The sites that it goes without; none while a service speaks.
+    pub fn without(&self) -> &BTreeSet<String> {
+        &self.without
+    }
+
+    /// The ties that the plan names for what is lost. None: nothing is lost, or nobody made a plan for it, or the loss
+    /// takes no tie from this place.
+    pub fn ties(&self) -> Option<&[String]> {
+        self.plan().map(|plan| plan.ties.as_slice())
+    }
+
+    fn plan(&self) -> Option<&Planned> {
+        let exact = self.plans.iter().find(|plan| plan.lost == self.without);
+        // More sites than any plan is for: the one that leaves out most of them, without the ties that are lost too, is
+        // for who reads it.
+        exact.or_else(|| {
+            let part = |plan: &&Planned| !plan.lost.is_empty() && plan.lost.is_subset(&self.without);
+            self.plans.iter().filter(part).max_by_key(|plan| plan.lost.len())
+        })
+    }
+
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+}
--- a/crates/sites/src/watch.rs
+++ b/crates/sites/src/watch.rs
@@ -24,6 +24,7 @@
 const HELD_MOST: Span = Span::millis(120_000);
 /// A loss is forgotten after it.
 const REMEMBERED: Span = Span::millis(600_000);
+const MOST_REMEMBERED: usize = 32;
 /// Witnesses that are listened to at most.
 const MOST_WITNESSES: usize = 4_096;
 
@@ -206,6 +207,22 @@
         self.sites.get(site).map_or(0, |site| site.losses.len())
     }
 
+    /// When sites were lost, as far as that is remembered, Unix milliseconds.
+    pub fn remembered(&self) -> BTreeMap<String, Vec<u64>> {
+        let at = |site: &Site| site.losses.iter().map(|at| at.micros() / 1_000).collect::<Vec<u64>>();
+        let lost = self.sites.iter().filter(|(_, site)| !site.losses.is_empty());
+        lost.map(|(name, site)| (name.clone(), at(site))).collect()
+    }
+
+    /// What a forerunner remembered. A clock that was ahead says nothing of the future.
+    pub fn recall(&mut self, losses: &BTreeMap<String, Vec<u64>>, now: Moment) {
+        for (name, at_ms) in losses {
+            let Some(site) = self.sites.get_mut(name) else { continue };
+            let at = at_ms.iter().map(|ms| Moment::at_micros(ms.saturating_mul(1_000)).min(now));
+            site.losses = at.filter(|at| now.since(*at) < REMEMBERED).take(MOST_REMEMBERED).collect();
+        }
+    }
+
     pub fn sites(&self) -> impl Iterator<Item = &str> {
         self.sites.keys().map(String::as_str)
     }
@@ -228,6 +245,9 @@
         }
         if self.says == View::Lost {
             self.losses.push(now);
+            if self.losses.len() > MOST_REMEMBERED {
+                self.losses.remove(0);
+            }
         } else if self.view == View::Lost {
             let longer = 2f64.powi(self.losses.len().saturating_sub(1).min(16) as i32);
             self.held_until = now + (HELD_FIRST * longer).min(HELD_MOST);
--- a/crates/sites/tests/rations.rs
+++ b/crates/sites/tests/rations.rs
@@ -280,3 +280,56 @@
     let (back, step) = standings.ask("east", Ask::Return, "anna", false).unwrap();
     assert_eq!((&back.to, step), (&Standing::Held, None));
 }
+
+/// Whoever was refused and asks again makes a second try, for a while, and only so many are remembered.
+#[test]
+fn second_tries_are_told_by_what_was_refused_lately() {
+    use harestage_sites::ration::Refusals;
+    let mut refusals = Refusals::new(Moment::at_micros(0));
+    let at = |ms: u64| Moment::at_micros(ms * 1_000);
+    refusals.note(&(1, 7), at(100));
+    assert!(refusals.has(&(1, 7), at(200)) && !refusals.has(&(2, 7), at(200)));
+    assert!(refusals.has(&(1, 7), at(4_500)), "the older half is still known");
+    assert!(!refusals.has(&(1, 7), at(9_000)), "and then forgotten");
+    refusals.note(&(1, 8), at(9_000));
+    assert!(!refusals.has(&(1, 8), at(60_000)), "both halves, after a long rest");
+    for n in 0..100_000u64 {
+        refusals.note(&n, at(60_000));
+    }
+    let known = (0..100_000u64).filter(|n| refusals.has(n, at(60_000))).count();
+    assert!(known < 20_000, "{known}");
+}
+
+/// A surge that comes at once, before any line is laid for it: once something was refused for want of room, nothing of less
+/// worth is taken in that beat; and second tries go after first ones.
+#[test]
+fn nothing_is_taken_past_something_better_that_was_refused() {
+    for seed in 0..40u64 {
+        let mut ration = Ration::new(Moment::at_micros(0));
+        ration.set_room(Some(50.0));
+        let (mut taken_second, mut refused_first) = (0, 0);
+        for n in 0..4_000u64 {
+            let mut hasher = std::hash::DefaultHasher::new();
+            std::hash::Hash::hash(&(seed, n), &mut hasher);
+            let drawn = std::hash::Hasher::finish(&hasher);
+            let worth = [0.25, 1.0, 4.0][(drawn % 3) as usize];
+            let second_try = drawn >> 8 & 3 == 0;
+            let want = Want { worth, takes: 1.0, second_try, branch: (drawn >> 16) as u32 % 3 };
+            let chance = (drawn >> 11) as f64 / (1u64 << 53) as f64;
+            // Quiet at first, then twenty times as much.
+            let ms = if n < 100 { n * 25 } else { 2_500 + n };
+            let answer = ration.ask(&want, chance, Moment::at_micros(ms * 1_000));
+            if n > 1_000 {
+                taken_second += u64::from(second_try && answer == Answer::Taken);
+                refused_first += u64::from(!second_try && worth == 4.0 && answer != Answer::Taken);
+            }
+        }
+        let tally = ration.tally();
+        assert!(tally.refused > 1_000 && tally.taken > 100, "{tally:?}");
+        assert_eq!(tally.out_of_order, 0, "seed {seed}: {tally:?}");
+        assert!(
+            taken_second == 0 || refused_first == 0,
+            "{taken_second} second tries, {refused_first} first ones refused"
+        );
+    }
+}
--- a/crates/standins/src/archive.rs
+++ b/crates/standins/src/archive.rs
@@ -101,7 +101,8 @@
         let dated_ms = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64;
         let copy = Some(CopyTag { digest, dated_ms, group: Some((object % 256) as u32) });
         let body = Bytes::from(vec![(object % 251) as u8; script.body_bytes]);
-        Some(Given { id: asked.id, word: Word::Good, remark: Remark::Nothing, first_ms: 0.0, copy, body })
+        let (id, word, remark) = (asked.id, Word::Good, Remark::Nothing);
+        Some(Given { id, word, remark, first_ms: 0.0, copy, body, come_ms: None })
     }
 
     /// From now on it behaves so.
--- a/crates/standins/src/edge.rs
+++ b/crates/standins/src/edge.rs
@@ -51,8 +51,15 @@
     fn reply(&self, asked: Asked) -> Given {
         let key = (asked.object.number(), asked.part);
         let held = self.store.lock().expect("no holder panics").get(&key).cloned();
-        let given =
-            |word, remark, copy, body| Given { id: asked.id, word, remark, first_ms: 0.0, copy, body };
+        let given = |word, remark, copy, body| Given {
+            id: asked.id,
+            word,
+            remark,
+            first_ms: 0.0,
+            copy,
+            body,
+            come_ms: None,
+        };
         if let Some((copy, body)) = held.filter(|_| asked.body.is_empty()) {
             return given(Word::Good, Remark::Hit, Some(copy), body);
         }
--- a/crates/wire/src/node.rs
+++ b/crates/wire/src/node.rs
@@ -229,6 +229,8 @@
     /// The tag of the copy, and the Unix millisecond at which the origin gave it out.
     pub copy: Option<CopyTag>,
     pub body: Bytes,
+    /// Milliseconds after which whoever was refused may come again; told to hubs of ours only.
+    pub come_ms: Option<u64>,
 }
 
 /// What tells one copy from another.
@@ -257,6 +259,7 @@
         .with_some("digest", digest)
         .with_some("dated", copy.map(|c| c.dated_ms))
         .with_some("group", copy.and_then(|c| c.group))
+        .with_some("come", given.come_ms)
         .or("-");
     let items = [given.id.as_str().as_bytes(), word.as_bytes(), fields.as_bytes()];
     Packet { head: resp::head(&items, given.body.len()), body: given.body.clone() }
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -5,6 +5,13 @@
 use crate::resp;
 use bytes::Bytes;
 
+/// The tag under which a hub asks another what it calls itself.
+pub const WHO: &[u8] = b"hub-who";
+/// The same for whoever asks a hub whether it is there; a number follows.
+pub const LOOK: &[u8] = b"hub-look-";
+/// Sites that one answer names, at most.
+const MOST_UNSEEN: usize = 64;
+
 /// Hubs on one way, at most: more than any shape has tiers. A longer one is refused as unreadable.
 pub const LONGEST_PATH: usize = 24;
 const LONGEST_NAME: usize = 32;
@@ -50,6 +57,31 @@
     (path.len() <= LONGEST_PATH && path.iter().all(|name| is_name(name))).then_some(path)
 }
 
+/// The answer to a look: whether it goes down in order, and the sites from which it hears nothing itself.
+pub fn write_seen(tag: &[u8], leaving: bool, unseen: &[String]) -> Packet {
+    let word: &[u8] = if leaving { b"AILING" } else { b"READY" };
+    let unseen = unseen.iter().take(MOST_UNSEEN).cloned().collect::<Vec<_>>().join("+");
+    let fields = Fields::default().with_some("unseen", Some(unseen).filter(|u| !u.is_empty())).or("-");
+    Packet { head: resp::head(&[tag, word, fields.as_bytes()], 0), body: Bytes::new() }
+}
+
+/// Reads such an answer; none for any other message.
+pub fn read_seen(items: &[Bytes]) -> Option<(bool, Vec<String>)> {
+    items.first()?.strip_prefix(LOOK)?;
+    let leaving = items.get(1)?.as_ref() == b"AILING";
+    let unseen = fields::read(items.get(2)?).find(|(name, _)| *name == b"unseen").map(|(_, value)| value);
+    let names = unseen
+        .map_or(Vec::new(), |text| String::from_utf8_lossy(&text).split('+').map(str::to_string).collect());
+    let names: Vec<String> = names.into_iter().filter(|name| is_name(name)).take(MOST_UNSEEN).collect();
+    Some((leaving, names))
+}
+
+/// When somebody who was refused may come again, as a hub tells it to hubs below. None: it says nothing of it.
+pub fn read_come(items: &[Bytes]) -> Option<u64> {
+    let come = fields::read(items.get(2)?).find(|(name, _)| *name == b"come")?.1;
+    fields::whole(&come)
+}
+
 pub fn write_chase(chase: &Chase) -> Packet {
     let fields = Fields::default()
         .with("obj", chase.object.as_str())
--- a/crates/wire/tests/codec.rs
+++ b/crates/wire/tests/codec.rs
@@ -318,8 +318,10 @@
         first_ms: 9.5,
         copy: Some(copy.clone()),
         body: Bytes::from_static(b"bytes"),
+        come_ms: Some(750),
     };
     let items = items_of(&node::write_given(&given));
+    assert_eq!(peer::read_come(&items), Some(750));
     let answer = node::read(&items).unwrap();
     assert_eq!((answer.word, answer.remark, answer.first_ms), (Word::Good, Remark::FromOrigin, 9.5));
     assert_eq!(node::read_copy(&items), Some(copy));
