--- a/crates/cli/tests/site.rs
+++ b/crates/cli/tests/site.rs
@@ -300,3 +300,51 @@
     assert!(code == 0 && said.contains("reached"), "{said}");
     whole(&mut fleet);
 }
+
+/// The site at which the members that speak for both services stand is killed at the peak of a surge: others take both
+/// services up, decide that the site is lost, and a purge that is asked for then is reached.
+#[test]
+fn a_site_with_the_leaders_of_both_services_is_lost_at_peak() {
+    let _turn = turn();
+    let surge = json!({"at_ms": 5_000, "lasts_ms": 30_000, "times": 1.8});
+    let three =
+        Three { lasts_ms: 120_000, services: 3, purges: true, surge: Some(surge), ..Three::default() };
+    let mut fleet = launch(&three);
+    all_report(&mut fleet);
+    let site = fleet.wait_for(LONG, |e| e.by.starts_with("control-") && e.says == "speaks").unwrap().site;
+    // Whoever else leads the purges is killed and started again, until the member at that site is chosen.
+    let mut from = -1.0;
+    loop {
+        let speaks = fleet.wait_for(LONG, |e| {
+            e.by.starts_with("purges-") && e.says == "takes up the service" && e.at_ms > from
+        });
+        let speaks = speaks.expect("a member takes the purges up");
+        if speaks.site == site {
+            break;
+        }
+        from = fleet.timeline().now_ms();
+        assert!(from < 60_000.0, "no member at {site} is ever chosen");
+        fleet.kill_now(&speaks.by);
+        let after = from;
+        fleet.wait_for(LONG, |e| {
+            e.by.starts_with("purges-") && e.says == "takes up the service" && e.at_ms > after
+        });
+        fleet.start_now(&speaks.by);
+    }
+    fleet.kill_now(&site);
+    let killed = fleet.timeline().now_ms();
+    for service in ["control-", "purges-"] {
+        let next = fleet.wait_for(LONG, |e| {
+            e.by.starts_with(service) && e.says == "takes up the service" && e.at_ms > killed
+        });
+        assert!(next.is_some_and(|e| e.site != site), "another member takes {service} up");
+    }
+    assert!(fleet.wait_for(LONG, stands(&site, "lost")).is_some());
+    let at = members(&fleet, "--purges", "purges");
+    let (code, said) = command(&["purge", "submit", "--glob", "00*", "--key", "one", "--wait"], &at);
+    assert!(code == 0 && said.contains("reached"), "{said}");
+    fleet.start_now(&site);
+    assert!(fleet.wait_for(LONG, stands(&site, "in_service")).is_some());
+    let entries = whole(&mut fleet);
+    assert!(served(&entries) > 0.6, "{}", served(&entries));
+}
