--- /dev/null
+++ b/crates/audit/src/lines.rs
@@ -0,0 +1,153 @@
+//! What audited processes, operators and the keeper write to each other: one JSON object a line.
+use crate::chain::Link;
+use crate::file::{Explained, Finding, Spell, Summary};
+use crate::stamp::Stamp;
+use crate::straggle::{MemberStatus, Share};
+use harestage_shape::form::ShapeForm;
+use harestage_shape::lines::Planned;
+use serde::{Deserialize, Serialize};
+
+/// What kind of process it is.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Role {
+    Hub,
+    #[default]
+    Router,
+    Feed,
+}
+
+/// What a process says of itself, some times a second.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Report {
+    pub member: String,
+    pub start: u64,
+    pub role: Role,
+    /// The site or branch that it is at, for the floor of those that are shut out.
+    pub site: String,
+    /// Its own clock.
+    pub now_ms: u64,
+    pub stamp: Stamp,
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub links: Vec<Link>,
+    /// A version that it was given and can't take, and why.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub refuses: Option<(u64, String)>,
+}
+
+/// How a straggler is brought up.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Bring {
+    /// Ties of single places, for whoever has the version `from`.
+    Difference { from: u64, to: u64, ties: Vec<(String, Vec<String>)> },
+    /// The whole version as hubs and branches' feeds take it.
+    Whole { shape: Box<ShapeForm>, plans: Vec<Planned> },
+    /// The whole list as routers take it: an event of the platform's feed, whose number says nothing.
+    Listing { event: String },
+    /// Nothing else has helped.
+    Restart { why: String },
+}
+
+/// Who is refused by hubs, and what is.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Refusals {
+    /// Members that are shut out, each with the share of its pulls that is let in all the same.
+    pub shut: Vec<(String, f64)>,
+    /// The least numbers that are not forbidden.
+    pub shape: u64,
+    pub purge: u64,
+}
+
+/// The answer to a report.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum ToAudited {
+    Ack {
+        term: u64,
+        start: u64,
+        /// All links up to that number are on disk.
+        upto: u64,
+        lease_ms: u64,
+        /// It is shut out: it is to act no more until it has caught up.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        shut: Option<String>,
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        bring: Option<Bring>,
+        /// For hubs.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        refuse: Option<Refusals>,
+    },
+    /// This member of the keeper does not speak for it; the one that does is there, if that is known.
+    Elsewhere { serves: Option<String> },
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum FromAudited {
+    Audited(Box<Report>),
+}
+
+/// What an operator asks for.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Call {
+    AuditStatus,
+    /// Who acted on what between these, Unix milliseconds of the keeper.
+    AuditWho {
+        from_ms: u64,
+        to_ms: u64,
+    },
+    /// When each process took this version, or this purge, up.
+    AuditWhen {
+        shape: Option<u64>,
+        purge: Option<u64>,
+    },
+    AuditStragglers,
+    /// The download of this id.
+    AuditExplain {
+        id: u64,
+    },
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Answer {
+    Status(Box<Status>),
+    Who(Vec<Spell>),
+    When(Vec<Taken>),
+    Stragglers(Vec<MemberStatus>),
+    Explained(Vec<Explained>),
+    Refused(String),
+    Elsewhere { serves: Option<String> },
+}
+
+/// When a process took a number up.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Taken {
+    pub member: String,
+    pub start: u64,
+    /// None: it never did, as far as it has told.
+    pub at_ms: Option<u64>,
+    /// How long after it was due.
+    pub after_ms: Option<u64>,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Status {
+    pub term: u64,
+    pub now_ms: u64,
+    pub shape: u64,
+    pub purge: u64,
+    pub members: Vec<MemberStatus>,
+    pub shut: Vec<(String, Share)>,
+    pub chains: Summary,
+    pub findings: Vec<Finding>,
+}
+
+/// One line, with its end.
+pub fn line(what: &impl Serialize) -> Vec<u8> {
+    let mut text = serde_json::to_vec(what).unwrap_or_default();
+    text.push(b'\n');
+    text
+}
--- a/crates/branch/src/board.rs
+++ b/crates/branch/src/board.rs
@@ -32,6 +32,8 @@
     Ties { long_before: Option<Rc<Shape>>, before: Option<Rc<Shape>>, now: Rc<Shape> },
     /// Copies that were given out up to then are old.
     Purge { object: Option<u64>, group: Option<u32>, at_ms: u64 },
+    /// What whoever has taken all that was said goes by.
+    Marks { purges: u64, plan: String },
 }
 
 impl Saying {
@@ -42,6 +44,7 @@
                 feed::event(number, long_before.as_deref(), before.as_deref(), now, branch)
             }
             Saying::Purge { object, group, at_ms } => feed::purge(number, *object, *group, *at_ms),
+            Saying::Marks { purges, plan } => feed::marks(number, *purges, plan),
         }
     }
 }
@@ -60,11 +63,15 @@
     shown: VecDeque<Rc<Shape>>,
     objects: BTreeMap<u64, u64>,
     purged_groups: BTreeMap<u32, u64>,
+    /// The sites that were left out when the ties were shown last.
+    shown_plan: String,
     said: VecDeque<Saying>,
     /// The place of the saying that was said last, from 1 on.
     place: u64,
     /// All purges that live are known.
     knows_purges: bool,
+    /// The last purge that was told.
+    has_purges: u64,
 }
 
 impl Board {
@@ -78,9 +85,11 @@
             shown: VecDeque::new(),
             objects: BTreeMap::new(),
             purged_groups: BTreeMap::new(),
+            shown_plan: String::new(),
             said: VecDeque::new(),
             place: 0,
             knows_purges: !waits,
+            has_purges: 0,
         }
     }
 
@@ -173,6 +182,32 @@
             self.shown.pop_front();
         }
         self.say(Saying::Ties { long_before, before, now });
+        if self.shown_plan != self.plan() {
+            self.shown_plan = self.plan();
+            self.say_marks();
+        }
+    }
+
+    /// The sites that it goes without, for marks.
+    pub fn plan(&self) -> String {
+        self.standby.without().iter().cloned().collect::<Vec<_>>().join("+")
+    }
+
+    fn say_marks(&mut self) {
+        self.say(Saying::Marks { purges: self.has_purges, plan: self.shown_plan.clone() });
+    }
+
+    /// All purges up to that number were told.
+    pub fn has_purges(&mut self, number: u64) {
+        if number > self.has_purges {
+            self.has_purges = number;
+            self.say_marks();
+        }
+    }
+
+    /// What it goes by itself: version and last purge.
+    pub fn goes(&self) -> (u64, u64) {
+        (self.version(), self.has_purges)
     }
 
     fn say(&mut self, saying: Saying) {
@@ -240,6 +275,7 @@
         };
         sayings.extend(self.purged_groups.iter().map(group));
         sayings.extend(self.objects.iter().map(object));
+        sayings.push(Saying::Marks { purges: self.has_purges, plan: self.shown_plan.clone() });
         Some((sayings, self.place))
     }
 
--- a/crates/branch/src/net.rs
+++ b/crates/branch/src/net.rs
@@ -6,6 +6,10 @@
 use event_listener::Event;
 use futures_lite::future::or;
 use harestage::time::Moment;
+use harestage_audit::acting::{Acting, Wanted, Who};
+use harestage_audit::lines::{Bring, Role, ToAudited};
+use harestage_audit::stamp::Goes;
+use harestage_following::audit::Audited;
 use harestage_following::control::{Heard, Member};
 use harestage_following::{Line, control, looks, purges};
 use harestage_purge::follow::Act;
@@ -57,6 +61,8 @@
     clock: Clock,
     log: Logger,
     name: String,
+    /// What it went by, where there is a keeper.
+    acting: Option<RefCell<Acting>>,
     callers: RefCell<BTreeMap<u64, Rc<Caller>>>,
     called: Cell<u64>,
     /// Something was said, or sent.
@@ -87,8 +93,21 @@
         let BranchFeed { start, listener } = self;
         let clock = Clock::start();
         let board = Board::new(&start.branch, start.groups, !start.purges.is_empty(), clock.now());
+        let acting = (!start.keepers.is_empty()).then(|| {
+            let who = Who {
+                member: start.name.clone(),
+                start: clock.now().micros(),
+                role: Role::Feed,
+                site: start.branch.clone(),
+                place: start.branch.clone(),
+            };
+            let (build, settings) = (start.build.clone(), start.settings);
+            let goes = Goes { build, settings, ..Goes::default() };
+            RefCell::new(Acting::begin(who, Vec::new(), goes, clock.now()))
+        });
         let shared = Rc::new(Shared {
             board: RefCell::new(board),
+            acting,
             clock,
             log: log.clone(),
             name: start.name.clone(),
@@ -106,6 +125,10 @@
                 purges::follow(&name, number, services, line(), hands, log).await;
             });
         }
+        if !start.keepers.is_empty() {
+            let (reports, keepers) = (Reports(shared.clone()), start.keepers.clone());
+            spawner.spawn(harestage_following::audit::follow(reports, keepers, line(), log.clone()));
+        }
         spawner.spawn(beats(shared.clone()));
         spawner.spawn(look(shared.clone(), spawner.clone()));
         let (open, serving, failing) = (Open::new(start.routers), shared.clone(), log.clone());
@@ -118,8 +141,10 @@
         };
         let failed = move |why| warn!(failing, "accept failed"; "why" => %why);
         spawner.spawn(accept(listener, open, spawner.clone(), one, failed));
+        let ending = shared.clone();
         spawner.block_on(async {
             let _ = stop.recv().await;
+            ending.last_word().await;
         });
         info!(log, "ended"; "branch" => &start.branch);
     }
@@ -138,6 +163,29 @@
         self.news.notify(usize::MAX);
     }
 
+    /// What was recorded last is told, if that takes no longer than a moment.
+    async fn last_word(&self) {
+        let Some(acting) = &self.acting else { return };
+        acting.borrow_mut().recorder().end(self.clock.now());
+        for _ in 0..20 {
+            if acting.borrow_mut().recorder().is_told() {
+                return;
+            }
+            Timer::after(BEAT / 2).await;
+        }
+    }
+
+    /// What it goes by now, for its record.
+    fn record(&self, now: Moment) {
+        let Some(acting) = &self.acting else { return };
+        let (shape, purge) = self.board.borrow().goes();
+        let plan = self.board.borrow().plan();
+        let mut acting = acting.borrow_mut();
+        let goes = Goes { shape, purge, plan, ..acting.goes().clone() };
+        acting.goes_by(goes, now);
+        acting.beat(now);
+    }
+
     async fn until_news(&self, at_most: Duration) {
         let news = self.news.listen();
         or(news, async {
@@ -171,7 +219,7 @@
         let now = self.now();
         let before = self.0.board.borrow().place();
         let turn = match heard {
-            Heard::Version { shape, plans } => self.0.board.borrow_mut().told(&shape, plans, now),
+            Heard::Version { shape, plans, .. } => self.0.board.borrow_mut().told(&shape, plans, now),
             Heard::Part { .. } | Heard::Beat => self.0.board.borrow_mut().service_spoke(now),
         };
         if self.0.board.borrow().place() != before {
@@ -180,6 +228,44 @@
     }
 }
 
+/// Its reports to the keeper of the audit.
+struct Reports(Rc<Shared>);
+
+impl Reports {
+    fn with<T>(&self, look: impl FnOnce(&mut Acting) -> T) -> Option<T> {
+        self.0.acting.as_ref().map(|acting| look(&mut acting.borrow_mut()))
+    }
+}
+
+impl Audited for Reports {
+    fn now(&self) -> Moment {
+        self.0.clock.now()
+    }
+
+    fn report(&self) -> harestage_audit::lines::Report {
+        let now = self.now();
+        let report = self.with(|acting| acting.report(now));
+        report.unwrap_or_else(|| unreachable!("only a feed that is audited reports"))
+    }
+
+    fn has_more(&self) -> bool {
+        self.with(|acting| acting.recorder().has_more()).unwrap_or(false)
+    }
+
+    async fn answered(&self, answer: ToAudited, asked: Moment) -> bool {
+        // A feed that starts anew would leave its branch without one: it is brought up, and never ended.
+        if let Some(Wanted::Take(Bring::Whole { shape, plans })) =
+            self.with(|acting| acting.answered(answer, asked)).flatten()
+        {
+            info!(self.0.log, "brought up by the keeper"; "version" => shape.version);
+            let now = self.now();
+            let turn = self.0.board.borrow_mut().told(&shape, plans, now);
+            self.0.say(turn);
+        }
+        true
+    }
+}
+
 struct Purges(Rc<Shared>);
 
 impl purges::Hands for Purges {
@@ -196,6 +282,7 @@
                     Act::Fences(_) => {}
                 }
             }
+            board.has_purges(has);
             if ready {
                 board.knows_purges();
             }
@@ -224,10 +311,12 @@
 async fn beats(shared: Rc<Shared>) {
     loop {
         Timer::after(BEAT).await;
-        let turn = shared.board.borrow_mut().beat(shared.clock.now());
+        let now = shared.clock.now();
+        let turn = shared.board.borrow_mut().beat(now);
         if turn.is_some() {
             shared.say(turn);
         }
+        shared.record(now);
     }
 }
 
--- a/crates/branch/src/start.rs
+++ b/crates/branch/src/start.rs
@@ -19,6 +19,9 @@
     /// The members of the service of purges; empty: there is none.
     #[serde(default)]
     pub purge_services: Vec<String>,
+    /// The members of the keeper of the audit; empty: what it goes by is not recorded.
+    #[serde(default)]
+    pub keepers: Vec<String>,
     /// Groups that the archive knows, numbered from 0: a purge that routers have no word for is told of all of them.
     #[serde(default = "usual_groups")]
     pub groups: u32,
@@ -42,6 +45,10 @@
     pub listen: SocketAddr,
     pub controls: Vec<SocketAddr>,
     pub purges: Vec<SocketAddr>,
+    pub keepers: Vec<SocketAddr>,
+    /// What this program calls itself, and a hash of this file, for that record.
+    pub build: String,
+    pub settings: u64,
     pub groups: u32,
     pub routers: usize,
 }
@@ -86,6 +93,9 @@
             listen: one("listen".into(), &self.listen)?,
             controls: all("controls", &self.controls)?,
             purges: all("purge_services", &self.purge_services)?,
+            keepers: all("keepers", &self.keepers)?,
+            build: env!("CARGO_PKG_VERSION").into(),
+            settings: harestage_audit::stamp::settings_of(&serde_json::to_vec(&self).unwrap_or_default()),
             groups: self.groups,
             routers: self.routers as usize,
             name: self.name,
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,5 +1,6 @@
 //! The command `harestage`.
 mod ask;
+mod audit;
 mod draw;
 mod drill;
 mod group;
@@ -7,6 +8,7 @@
 mod purge;
 mod shape;
 mod site;
+mod witness;
 
 use clap::{Parser, Subcommand};
 use harestage_branch::net::BranchFeed;
@@ -14,6 +16,7 @@
 use harestage_control::serve::Keeper;
 use harestage_hub::net::Hub;
 use harestage_hub::start::HubFile;
+use harestage_keeper::serve::Follows;
 use harestage_shape::form;
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -70,6 +73,28 @@
         #[command(flatten)]
         group: group::Membership,
     },
+    /// Run the keeper of the audit: the record of what every process acted on.
+    Keeper {
+        /// Address and port for processes that report, and operators.
+        #[arg(long)]
+        listen: SocketAddr,
+        /// The folder of its log and its records.
+        #[arg(long)]
+        folder: PathBuf,
+        /// Members of the control service, for what is due.
+        #[arg(long = "control", required = true)]
+        controls: Vec<SocketAddr>,
+        /// Members of the service of purges; absent: there is none.
+        #[arg(long = "purges")]
+        purges: Vec<SocketAddr>,
+        #[command(flatten)]
+        group: group::Membership,
+    },
+    /// Ask who acted on which version, and check the records of it.
+    Audit {
+        #[command(subcommand)]
+        what: audit::Audit,
+    },
     /// See who is in a service's group, and change that.
     Group {
         #[command(subcommand)]
@@ -91,6 +116,8 @@
         /// A further address of the control feed: where one breaks, the next is followed.
         #[arg(long = "feed")]
         feeds: Vec<SocketAddr>,
+        #[command(flatten)]
+        watch: witness::Watch,
     },
     /// Look at shapes, and change the one in service.
     Shape {
@@ -149,7 +176,14 @@
         What::Purges { listen, folder, group } => purges(listen, &folder, &group, log),
         What::Group { what } => return group::run(what),
         What::Purge { what } => return purge::run(what),
-        What::Router { file, feeds } => harestage_router::program::run_with(&file, feeds),
+        What::Keeper { listen, folder, controls, purges, group } => {
+            let follows = Follows { controls, purges };
+            keeper(listen, &folder, follows, &group, log)
+        }
+        What::Audit { what } => return audit::run(what),
+        What::Router { file, feeds, watch } => {
+            harestage_router::program::run_with(&file, feeds, witness::attach(&watch, &file))
+        }
         What::Shape { what } => return shape::run(what),
         What::Site { what } => return site::run(what),
         What::Drill(drill) => return drill::run(&drill),
@@ -219,6 +253,19 @@
     harestage_purger::Purger::open_member(listen, folder, &start, log)?.serve(log::until_signal()?)
 }
 
+fn keeper(
+    listen: SocketAddr,
+    folder: &std::path::Path,
+    follows: Follows,
+    group: &group::Membership,
+    form: log::Form,
+) -> Result<(), String> {
+    let start = group.checked("keeper")?;
+    let (log, _written_at_end) = log::open(&start.name, form);
+    let keeper = harestage_keeper::serve::Keeper::open(listen, folder, &start, follows, log)?;
+    keeper.serve(log::until_signal()?)
+}
+
 fn standin(file: &std::path::Path) -> Result<(), String> {
     let named = |why: String| format!("{}: {why}", file.display());
     let text = std::fs::read(file).map_err(|why| named(why.to_string()))?;
--- /dev/null
+++ b/crates/cli/src/witness.rs
@@ -0,0 +1,214 @@
+//! `harestage router --keeper`: what joins a router to the keeper of the audit. The platform's router has nothing of it.
+use async_channel::Sender;
+use async_io::Timer;
+use futures_lite::future::or;
+use harestage::state::ContentIx;
+use harestage::time::Moment;
+use harestage_audit::acting::{Acting, Wanted, Who};
+use harestage_audit::chain::Outcome;
+use harestage_audit::lines::{Bring, Report, Role, ToAudited};
+use harestage_audit::stamp::Goes;
+use harestage_following::audit::{Audited, follow};
+use harestage_router::program::{Attach, Attached, Beside};
+use harestage_router::routing::News;
+use harestage_router::routing::witness::{Became, Witness};
+use harestage_sockets::clock::Clock;
+use harestage_wire::feed::{self, Line, Marks};
+use harestage_wire::peer::Mark;
+use slog::{Logger, info, warn};
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// What the router's command line says of the audit.
+#[derive(clap::Args, Clone, Debug)]
+pub struct Watch {
+    /// A member of the keeper of the audit; further ones are tried where it is away. Absent: nothing is recorded.
+    #[arg(long = "keeper")]
+    pub keepers: Vec<SocketAddr>,
+    /// The branch that this router is at, as the shape names it.
+    #[arg(long, default_value = "")]
+    pub branch: String,
+    /// Nodes whose names begin so are hubs of ours, and are told under what a pull is made.
+    #[arg(long = "marks", default_values_t = vec!["hub-".to_string()])]
+    pub marked: Vec<String>,
+    /// For measurements: it is recorded, and nothing shuts it out.
+    #[arg(long, hide = true)]
+    pub plain: bool,
+    /// What this program is called in records; absent: its version.
+    #[arg(long, default_value = env!("CARGO_PKG_VERSION"))]
+    pub build: String,
+}
+
+const BEAT: Duration = Duration::from_millis(100);
+/// Those who are turned away are told to come again after as long, spread over as much again.
+const COME_AGAIN_MS: u64 = 500;
+
+struct Watching {
+    acting: RefCell<Acting>,
+    clock: Clock,
+    marked: Vec<String>,
+    drawn: Cell<u64>,
+    inbox: Sender<News>,
+    log: Logger,
+    /// It was said that this router may not act.
+    said: Cell<bool>,
+    /// It ends once all is told.
+    ends: Cell<bool>,
+}
+
+fn line() -> harestage_following::Line {
+    harestage_following::Line {
+        connect: Duration::from_millis(400),
+        silence: Duration::from_secs(2),
+        pause: Duration::from_millis(150),
+        report_every: Duration::from_millis(200),
+        bytes: 8 << 20,
+    }
+}
+
+/// None: there is no keeper.
+pub fn attach(watch: &Watch, file: &str) -> Option<Attach> {
+    if watch.keepers.is_empty() {
+        return None;
+    }
+    let (watch, settings) = (watch.clone(), std::fs::read(file).unwrap_or_default());
+    Some(Box::new(move |to: Attached| {
+        let Attached { name, contents, clock, inbox, log } = to;
+        let place = if watch.branch.is_empty() { name.clone() } else { watch.branch.clone() };
+        let start = clock.now().micros();
+        let who = Who { member: name, start, role: Role::Router, site: place.clone(), place };
+        let settings = harestage_audit::stamp::settings_of(&settings);
+        let goes = Goes { build: watch.build.clone(), settings, ..Goes::default() };
+        let mut acting = Acting::begin(who, contents, goes, clock.now());
+        if watch.plain {
+            acting.is_plain();
+        }
+        let acting = RefCell::new(acting);
+        let (marked, drawn, said) = (watch.marked.clone(), Cell::new(0), Cell::new(false));
+        let ends = Cell::new(false);
+        let watching =
+            Rc::new(Watching { acting, clock, marked, drawn, inbox, log: log.clone(), said, ends });
+        let reporting = follow(Reporting(watching.clone()), watch.keepers.clone(), line(), log);
+        let beside: Beside = Box::pin(or(reporting, beats(watching.clone())));
+        (watching as Rc<dyn Witness>, beside)
+    }))
+}
+
+async fn beats(watching: Rc<Watching>) {
+    loop {
+        Timer::after(BEAT).await;
+        let now = watching.clock.now();
+        watching.acting.borrow_mut().beat(now);
+        let why = watching.acting.borrow().why_shut(now);
+        if watching.said.replace(why.is_some()) != why.is_some() {
+            match why {
+                Some(why) => warn!(watching.log, "acts no more"; "why" => why),
+                None => info!(watching.log, "acts again"),
+            }
+        }
+    }
+}
+
+impl Watching {
+    fn take_up(&self, marks: &Marks, now: Moment) {
+        let mut acting = self.acting.borrow_mut();
+        let own = acting.goes().clone();
+        // Numbers never go back: a feed that starts anew tells what it has, which may be less than was told before it.
+        let shape = marks.version.unwrap_or(own.shape).max(own.shape);
+        let purge = marks.purges.unwrap_or(own.purge).max(own.purge);
+        let plan = marks.plan.clone().unwrap_or(own.plan.clone());
+        if (shape, purge, &plan) != (own.shape, own.purge, &own.plan) {
+            info!(self.log, "goes by"; "shape" => shape, "purge" => purge, "plan" => &plan);
+        }
+        acting.goes_by(Goes { shape, purge, plan, ..own }, now);
+    }
+}
+
+impl Witness for Watching {
+    fn goes_by(&self, marks: &Marks, now: Moment) {
+        self.take_up(marks, now);
+    }
+
+    fn may_act(&self) -> bool {
+        self.acting.borrow().may_act(self.clock.now())
+    }
+
+    fn come_again_ms(&self) -> u64 {
+        self.drawn.set(self.drawn.get() + 1);
+        COME_AGAIN_MS + self.drawn.get().wrapping_mul(0x9e37_79b9_7f4a_7c15) % COME_AGAIN_MS
+    }
+
+    fn acts_by(&self) -> u64 {
+        self.acting.borrow_mut().recorder().stamp_no()
+    }
+
+    fn ended(&self, content: ContentIx, became: Became, id: u64, acted: Option<u64>, now: Moment) {
+        let outcome = match became {
+            Became::Fulfilled => Outcome::Fulfilled,
+            Became::Throttled => Outcome::Throttled,
+            Became::Abandoned => Outcome::Abandoned,
+            Became::Left => Outcome::Left,
+        };
+        let (mut acting, content) = (self.acting.borrow_mut(), content.0 as usize);
+        match acted {
+            Some(acted) => acting.ended_under(acted, content, outcome, id, now),
+            None => acting.ended(content, outcome, id, now),
+        }
+    }
+
+    fn ends(&self) {
+        self.ends.set(true);
+        let now = self.clock.now();
+        self.acting.borrow_mut().recorder().end(now);
+    }
+
+    fn pulled(&self, node: &str, now: Moment) -> Option<Mark> {
+        let mut acting = self.acting.borrow_mut();
+        acting.recorder().pulled(node, now);
+        let ours = self.marked.iter().any(|prefix| node.starts_with(prefix.as_str()));
+        ours.then(|| {
+            let (by, place) = (acting.who().member.clone(), acting.who().place.clone());
+            Mark { by, place, stamp: acting.stamp().to_string() }
+        })
+    }
+}
+
+struct Reporting(Rc<Watching>);
+
+impl Audited for Reporting {
+    fn now(&self) -> Moment {
+        self.0.clock.now()
+    }
+
+    fn report(&self) -> Report {
+        self.0.acting.borrow().report(self.now())
+    }
+
+    fn has_more(&self) -> bool {
+        self.0.acting.borrow_mut().recorder().has_more()
+    }
+
+    async fn answered(&self, answer: ToAudited, asked: Moment) -> bool {
+        let wanted = self.0.acting.borrow_mut().answered(answer, asked);
+        match wanted {
+            Some(Wanted::Restart(why)) => {
+                warn!(self.0.log, "starts anew: the keeper asks for it"; "why" => why);
+                return false;
+            }
+            // Through the same door as the feed, under no number of its own.
+            Some(Wanted::Take(Bring::Listing { event })) => {
+                info!(self.0.log, "brought up by the keeper");
+                if let Ok(Line::Event(_, told)) = feed::read_line(event.as_bytes()) {
+                    let _ = self.0.inbox.send(News::Told(told)).await;
+                    if let Some(marks) = feed::read_marks(event.as_bytes()) {
+                        let _ = self.0.inbox.send(News::GoesBy(marks)).await;
+                    }
+                }
+            }
+            _ => {}
+        }
+        !(self.0.ends.get() && self.0.acting.borrow_mut().recorder().is_told())
+    }
+}
--- a/crates/control/src/serve.rs
+++ b/crates/control/src/serve.rs
@@ -313,11 +313,15 @@
     let text = String::from_utf8_lossy(&line).into_owned();
     if let Some((last, name)) = lines::read_subscribe(&text) {
         lines.most = LONGEST_REPORT;
-        return or(hear(service, &mut lines, name), tell(service, stream, last, name, None)).await;
+        return or(hear(service, &mut lines, name), tell(service, stream, last, Place::Hub(name))).await;
+    }
+    if let Some((last, name)) = lines::read_subscribe_all(&text) {
+        lines.most = LONGEST_REPORT;
+        return or(hear(service, &mut lines, name), tell(service, stream, last, Place::All)).await;
     }
     if let Some((last, name, branch)) = lines::read_subscribe_branch(&text) {
         lines.most = LONGEST_REPORT;
-        return or(hear(service, &mut lines, name), tell(service, stream, last, branch, Some(branch))).await;
+        return or(hear(service, &mut lines, name), tell(service, stream, last, Place::Branch(branch))).await;
     }
     if let Ok(call) = serde_json::from_slice::<harestage_seats::Call>(&line) {
         let answer = service.council.answer(&call);
@@ -354,14 +358,16 @@
     String::new()
 }
 
+/// What a member is, for what it is told of a version.
+#[derive(Clone, Copy)]
+enum Place<'a> {
+    Hub(&'a str),
+    Branch(&'a str),
+    All,
+}
+
 /// Versions to a member, each whole; one that was away gets the newest only. With each go the plans for its place.
-async fn tell(
-    service: &Service,
-    stream: &Stream,
-    mut last: u64,
-    place: &str,
-    branch: Option<&str>,
-) -> String {
+async fn tell(service: &Service, stream: &Stream, mut last: u64, place: Place<'_>) -> String {
     loop {
         if !service.speaks() {
             return elsewhere(service, stream).await;
@@ -371,11 +377,11 @@
         let version = service.with(|director| {
             let control = director.control();
             let shape = control.version(told).filter(|shape| shape.version() > last)?;
-            let form = match branch {
-                Some(branch) => feed::for_branch(shape, branch)?,
-                None => feed::for_hubs(shape),
+            let (form, plans) = match place {
+                Place::Hub(hub) => (feed::for_hubs(shape), director.handed(hub)),
+                Place::Branch(branch) => (feed::for_branch(shape, branch)?, director.handed(branch)),
+                Place::All => (shape.form(), Vec::new()),
             };
-            let plans = director.handed(place);
             Some(ToMember::Version { term: control.term(), shape: Box::new(form), plans })
         });
         match version.flatten() {
--- a/crates/fleet/src/disk.rs
+++ b/crates/fleet/src/disk.rs
@@ -69,7 +69,7 @@
     }
 }
 
-/// Names and bytes of a folder, without what is no data of the process.
+/// Names and bytes of a folder, those of folders in it too, without what is no data of the process.
 fn contents(folder: &Path) -> io::Result<std::collections::BTreeMap<String, Vec<u8>>> {
     let mut files = std::collections::BTreeMap::new();
     for entry in std::fs::read_dir(folder)? {
@@ -77,7 +77,10 @@
             let entry = entry?;
             (entry.file_name().to_string_lossy().into_owned(), entry.path())
         };
-        if name != STATE && name != "lock" && path.is_file() {
+        if path.is_dir() {
+            let within = contents(&path)?.into_iter();
+            files.extend(within.map(|(inner, bytes)| (format!("{name}/{inner}"), bytes)));
+        } else if name != STATE && name != "lock" {
             files.insert(name, std::fs::read(path)?);
         }
     }
@@ -91,5 +94,9 @@
     for name in contents(to)?.keys().filter(|name| !files.contains_key(*name)) {
         std::fs::remove_file(to.join(name))?;
     }
-    files.iter().try_for_each(|(name, bytes)| std::fs::write(to.join(name), bytes))
+    files.iter().try_for_each(|(name, bytes)| {
+        let path = to.join(name);
+        path.parent().map_or(Ok(()), std::fs::create_dir_all)?;
+        std::fs::write(path, bytes)
+    })
 }
--- a/crates/fleet/src/process.rs
+++ b/crates/fleet/src/process.rs
@@ -77,6 +77,7 @@
             Runs::Control => &["control", "--listen", &own, "--journal", &disk, "--first", &file],
             Runs::Purges => &["purges", "--listen", &own, "--folder", &disk],
             Runs::Hub => &["hub", &file],
+            Runs::Keeper => &["keeper", "--listen", &own, "--folder", &disk],
             Runs::Feed => &["feed", &file],
             Runs::Router => &["router", &file],
             Runs::Standin => &["standin", &file],
--- a/crates/fleet/src/scenario.rs
+++ b/crates/fleet/src/scenario.rs
@@ -64,6 +64,8 @@
     Hub,
     /// A branch's own feed.
     Feed,
+    /// The keeper of the audit.
+    Keeper,
     Router,
     /// Stand-ins by a script: an archive, edge caches, clients.
     Standin,
--- a/crates/following/src/control.rs
+++ b/crates/following/src/control.rs
@@ -20,6 +20,7 @@
 #[derive(Debug)]
 pub enum Heard {
     Version {
+        term: u64,
         shape: Box<ShapeForm>,
         plans: Vec<Planned>,
     },
@@ -153,7 +154,7 @@
                 }
                 self.is_up();
                 info!(self.log, "version"; "number" => shape.version, "term" => its, "plans" => plans.len());
-                self.member.hear(Heard::Version { shape, plans }).await;
+                self.member.hear(Heard::Version { term: its, shape, plans }).await;
             }
             ToMember::Part(part) => {
                 self.is_up();
--- a/crates/following/src/lib.rs
+++ b/crates/following/src/lib.rs
@@ -1,5 +1,6 @@
 //! Lines to the services, for hubs and branch feeds: whoever speaks for a group is found and found again, what it says is
 //! handed on, and what the follower has to say goes the other way. Nothing here decides anything but where to call next.
+pub mod audit;
 pub mod control;
 pub mod looks;
 pub mod purges;
--- a/crates/hub/src/desk.rs
+++ b/crates/hub/src/desk.rs
@@ -6,6 +6,11 @@
 use harestage::ring::Ring;
 use harestage::state::Remark;
 use harestage::time::{Moment, Span};
+use harestage_audit::acting::{Acting, OLD, Wanted, Who};
+use harestage_audit::chain::Outcome;
+use harestage_audit::lines::{Bring, Role};
+use harestage_audit::record::ContentNo;
+use harestage_audit::stamp::{Goes, Stamp};
 use harestage_purge::scope::Checked;
 use harestage_shape::control::{LoopSeen, Report};
 use harestage_shape::form::ShapeForm;
@@ -21,7 +26,7 @@
 use harestage_sites::watch::SILENCE;
 use harestage_wire::fields::Hex;
 use harestage_wire::node::{Answer, Asked, CopyTag, Given, Word};
-use harestage_wire::peer::{Chase, Way};
+use harestage_wire::peer::{Chase, Mark, Way};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::hash::{DefaultHasher, Hash, Hasher};
 
@@ -127,8 +132,13 @@
     /// What this hub is to do where a site is lost and no service speaks.
     Plans {
         version: u64,
+        term: u64,
         plans: Vec<Planned>,
     },
+    /// All purges up to that number are applied.
+    HasPurges(u64),
+    /// The keeper of the audit wants something of it.
+    Wanted(Box<Wanted>),
     /// The control service speaks, whatever it has said.
     ServiceSpoke,
     /// Whoever refuses a pull says when to come again; its answer follows.
@@ -170,6 +180,8 @@
     Broke(Knot),
     /// It goes by another plan from now on, for the log.
     Turned(Turn),
+    /// The keeper of the audit wants it to start anew.
+    StartAnew(String),
 }
 
 /// A pull as the wire's request needs it.
@@ -184,6 +196,7 @@
     pub no_copy: bool,
     /// None: it goes to the archive, which is not ours.
     pub way: Option<Way>,
+    pub mark: Option<Mark>,
 }
 
 /// A pull of somebody below that waits for a fill.
@@ -327,6 +340,13 @@
     /// What it does about a lost site while no service speaks, and the newest version by that.
     standby: Standby,
     planned: Option<Shape>,
+    /// What it acted on, where there is a keeper; the content types by their places in that record, and those of pulls that
+    /// are not answered yet.
+    audit: Option<Acting>,
+    content_numbers: HashMap<Bytes, ContentNo>,
+    asked_of: HashMap<(ConnNo, Hex), ContentNo>,
+    has_purges: u64,
+    term: u64,
     /// False: the way that others are measured against, in which a new home fetches without asking the old one.
     hands_over: bool,
 }
@@ -369,6 +389,11 @@
             asks: HashMap::new(),
             standby: Standby::new(now),
             planned: None,
+            audit: None,
+            content_numbers: HashMap::new(),
+            asked_of: HashMap::new(),
+            has_purges: 0,
+            term: 0,
             hands_over: true,
         };
         desk.set(now + BEAT, Bell::Beat);
@@ -393,6 +418,27 @@
         self.unknowing = true;
     }
 
+    /// What it does is recorded from now on, and the keeper may have pulls refused.
+    pub fn is_audited(&mut self, start: u64, build: &str, settings: u64, now: Moment) {
+        let mut names: Vec<Bytes> = self.contents.keys().cloned().collect();
+        names.sort();
+        let contents = names.iter().map(|name| String::from_utf8_lossy(name).into_owned()).collect();
+        self.content_numbers = names.into_iter().enumerate().map(|(n, name)| (name, n)).collect();
+        let who = Who {
+            member: self.name.clone(),
+            start,
+            role: Role::Hub,
+            site: self.site.clone(),
+            place: self.name.clone(),
+        };
+        let goes = Goes { build: build.into(), settings, ..Goes::default() };
+        self.audit = Some(Acting::begin(who, contents, goes, now));
+    }
+
+    pub fn audit(&mut self) -> Option<&mut Acting> {
+        self.audit.as_mut()
+    }
+
     /// For measurements only: homes move without being handed over.
     pub fn without_handover(&mut self) {
         self.hands_over = false;
@@ -409,9 +455,67 @@
             let bell = first.remove();
             self.ring(bell, now);
         }
+        self.record(now);
         std::mem::take(&mut self.orders)
     }
 
+    /// Counts what this turn has ordered, and under what.
+    fn record(&mut self, now: Moment) {
+        let plan = self.standby.without().iter().cloned().collect::<Vec<_>>().join("+");
+        let (shape, purge, term) = (self.version(), self.has_purges, self.term);
+        let Some(audit) = &mut self.audit else { return };
+        if (audit.goes().shape, audit.goes().purge, audit.goes().term) != (shape, purge, term)
+            || audit.goes().plan != plan
+        {
+            let goes = Goes { shape, purge, term, plan, ..audit.goes().clone() };
+            audit.goes_by(goes, now);
+        }
+        for order in &self.orders {
+            match order {
+                Order::Answer { conn, given } => {
+                    let Some(content) = self.asked_of.remove(&(*conn, given.id)) else { continue };
+                    let outcome = match given.word {
+                        Word::Good | Word::StillGood => Outcome::Fulfilled,
+                        Word::Full => Outcome::Throttled,
+                        Word::Lacks | Word::Failed | Word::TooLate => Outcome::Abandoned,
+                    };
+                    audit.ended(content, outcome, given.id.number(), now);
+                    given.copy.iter().for_each(|copy| audit.recorder().gave(copy.dated_ms));
+                }
+                Order::Pull { to, .. } => audit.recorder().pulled(&to.name, now),
+                _ => {}
+            }
+        }
+    }
+
+    fn wanted(&mut self, wanted: Wanted, now: Moment) {
+        match wanted {
+            Wanted::Restart(why) => self.orders.push(Order::StartAnew(why)),
+            Wanted::Take(bring) => self.brought(bring, now),
+        }
+    }
+
+    /// A version that came by the keeper, since the service could not be heard.
+    fn brought(&mut self, bring: Bring, now: Moment) {
+        match bring {
+            Bring::Whole { shape, plans } => {
+                let version = shape.version;
+                self.told(&shape, now);
+                self.handed(version, plans, now);
+            }
+            Bring::Difference { from, to, ties } => {
+                let Some(own) = self.versions.newest().filter(|own| own.version() == from) else { return };
+                let mut form = own.form();
+                form.version = to;
+                for (place, up) in ties {
+                    form.hubs.iter_mut().filter(|hub| hub.name == place).for_each(|hub| hub.up = up.clone());
+                }
+                self.told(&form, now);
+            }
+            Bring::Listing { .. } | Bring::Restart { .. } => {}
+        }
+    }
+
     fn take_in(&mut self, news: News, now: Moment) {
         match news {
             News::Asked { conn, asked } => self.asked(conn, *asked, now),
@@ -438,7 +542,12 @@
                 self.service_spoke(now);
                 self.share.told(part, asked, now);
             }
-            News::Plans { version, plans } => self.handed(version, plans, now),
+            News::Plans { version, term, plans } => {
+                self.term = self.term.max(term);
+                self.handed(version, plans, now);
+            }
+            News::HasPurges(number) => self.has_purges = number,
+            News::Wanted(wanted) => self.wanted(*wanted, now),
             News::ServiceSpoke => self.service_spoke(now),
             News::ComeAgain { pull, after } => {
                 let fill = self.pulls.get(&pull).and_then(|key| self.fills.get_mut(key));
@@ -466,7 +575,13 @@
             Some(newest) => newest.followed_by(form),
             None => Shape::of(form),
         };
-        let Ok(shape) = shape else { return };
+        let shape = match shape {
+            Ok(shape) => shape,
+            Err(wrong) => {
+                let why = wrong.first().map(ToString::to_string).unwrap_or_default();
+                return self.audit.iter_mut().for_each(|audit| audit.refuses(form.version, &why));
+            }
+        };
         let (archive, tops) = (shape.archive(), shape.tops().len());
         self.share.known(archive.capacity * archive.stops_at, tops, self.alone);
         self.versions.enter(shape, now);
@@ -517,6 +632,9 @@
 
     fn asked(&mut self, conn: ConnNo, asked: Asked, now: Moment) {
         self.asked.add(now, 1.0);
+        if self.audit.is_some() && !self.takes_mark(conn, &asked, now) {
+            return;
+        }
         // Writes run at the archive and nowhere else: two of them must never pass for one fill.
         if !asked.body.is_empty() {
             return self.refuse(conn, asked.id, Word::Full, Remark::SourceRefused);
@@ -555,6 +673,24 @@
         self.fill_for(conn, key, asked, oldest, now);
     }
 
+    /// Records under what a pull was made. False: it was refused for that, and never ran.
+    fn takes_mark(&mut self, conn: ConnNo, asked: &Asked, now: Moment) -> bool {
+        if let Some(number) = self.content_numbers.get(&asked.content) {
+            self.asked_of.insert((conn, asked.id), *number);
+        }
+        let Some((audit, mark)) = self.audit.as_mut().zip(asked.mark.as_ref()) else { return true };
+        // What can't be read as a stamp is the oldest there is.
+        let stamp = mark.stamp.parse().unwrap_or(Stamp::default());
+        let takes = audit.takes(&mark.by, &mark.place, stamp, now);
+        if !takes {
+            let (word, remark, first_ms) = (Word::Full, Remark::SourceRefused, 0.0);
+            let (copy, body, come_ms, why) = (None, Bytes::new(), None, Some(OLD));
+            let given = Given { id: asked.id, word, remark, first_ms, copy, body, come_ms, why };
+            self.orders.push(Order::Answer { conn, given });
+        }
+        takes
+    }
+
     /// Where more is asked than this hub can do, what is worth least is refused, at once and with the proof that it never
     /// ran; each connection from below, a branch's cache, has a fair part where the line falls. Questions among homes pass.
     fn takes(
@@ -612,16 +748,17 @@
     }
 
     fn refuse(&mut self, conn: ConnNo, id: Hex, word: Word, remark: Remark) {
-        let (first_ms, copy, body, come_ms) = (0.0, None, Bytes::new(), None);
-        let given = Given { id, word, remark, first_ms, copy, body, come_ms };
+        let (first_ms, copy, body, come_ms, why) = (0.0, None, Bytes::new(), None, None);
+        let given = Given { id, word, remark, first_ms, copy, body, come_ms, why };
         self.orders.push(Order::Answer { conn, given });
     }
 
     /// Refused for want of room; a hub of ours hears when to come again.
     fn refuse_until(&mut self, conn: ConnNo, id: Hex, after: Option<Span>) {
-        let (first_ms, copy, body) = (0.0, None, Bytes::new());
+        let (first_ms, copy, body, why) = (0.0, None, Bytes::new(), None);
         let come_ms = after.map(|after| (after.as_micros() / 1_000).max(1));
-        let given = Given { id, word: Word::Full, remark: Remark::NoPlace, first_ms, copy, body, come_ms };
+        let (word, remark) = (Word::Full, Remark::NoPlace);
+        let given = Given { id, word, remark, first_ms, copy, body, come_ms, why };
         self.orders.push(Order::Answer { conn, given });
     }
 
@@ -701,6 +838,7 @@
 
     /// One of those who wait has left. When nobody waits any more, the fill is given up, and so is what it asked for.
     fn left(&mut self, conn: ConnNo, id: Hex) {
+        self.asked_of.remove(&(conn, id));
         let Some(key) = self.waiting.remove(&(conn, id)) else { return };
         let Some(fill) = self.fills.get_mut(&key) else { return };
         fill.waiters.retain(|waiter| (waiter.conn, waiter.id) != (conn, id));
@@ -867,12 +1005,19 @@
             oldest_ms: self.oldest(key, fill, now),
             only_held,
             no_copy: fill.no_copy,
+            mark: way.is_some().then(|| self.mark()).flatten(),
             way,
         };
         self.orders.push(Order::Pull { pull, to, ask });
         pull
     }
 
+    fn mark(&self) -> Option<Mark> {
+        let audit = self.audit.as_ref()?;
+        let (by, place) = (audit.who().member.clone(), audit.who().place.clone());
+        Some(Mark { by, place, stamp: audit.stamp().to_string() })
+    }
+
     /// The oldest copy that will do for all who wait, and after all purges that are known.
     fn oldest(&self, key: Key, fill: &Fill, now: Moment) -> Option<u64> {
         let wanted = fill.waiters.iter().filter_map(|waiter| waiter.oldest).min();
@@ -1074,6 +1219,7 @@
             Bell::Beat => {
                 self.set(now + BEAT, Bell::Beat);
                 self.aside.retain(|_, until| *until > now);
+                self.audit.iter_mut().for_each(|audit| audit.beat(now));
                 let room = self.room(now);
                 self.ration.set_room(room);
                 for act in self.knots.beat(now) {
@@ -1270,5 +1416,5 @@
         if still_good { (Word::StillGood, Bytes::new()) } else { (Word::Good, copy.body.clone()) };
     let dated_ms = copy.dated.micros() / 1_000;
     let tag = CopyTag { digest: copy.digest.clone(), dated_ms, group: copy.group.filter(|_| ours) };
-    Given { id, word, remark, first_ms, copy: Some(tag), body, come_ms: None }
+    Given { id, word, remark, first_ms, copy: Some(tag), body, come_ms: None, why: None }
 }
--- a/crates/hub/src/net/mod.rs
+++ b/crates/hub/src/net/mod.rs
@@ -39,6 +39,9 @@
     pub purges_were_taken: Event,
     /// It was told to end.
     pub leaving: Cell<bool>,
+    /// The keeper of the audit wants it to start anew.
+    pub anew: Cell<bool>,
+    pub ends: Event,
 }
 
 /// A hub that listens already, so that whoever started it knows its address.
@@ -77,6 +80,10 @@
         desk.waits_for_purges();
     }
     desk.is_at(&start.site, clock.now());
+    if !start.keepers.is_empty() {
+        let number = clock.now().micros();
+        desk.is_audited(number, &start.build, start.settings, clock.now());
+    }
     if !start.hands_over {
         desk.without_handover();
     }
@@ -90,9 +97,12 @@
         purges_taken: Cell::new(0),
         purges_were_taken: Event::new(),
         leaving: Cell::new(false),
+        anew: Cell::new(false),
+        ends: Event::new(),
     });
     let limits = Rc::new(start.limits);
     let (inbox, news) = async_channel::bounded(limits.inbox);
+    let inbox_of_audit = inbox.clone();
     let below = down::Below::new(limits.clone(), shared.clone(), inbox.clone(), log.clone());
     let above = up::Above::new(limits.clone(), inbox.clone(), log.clone(), spawner.clone());
     info!(log, "ready"; "hub" => &start.name, "listen" => ?listener.get_ref().local_addr().ok());
@@ -106,7 +116,7 @@
         spawner.spawn(purges::follow(feed, limits.clone(), inbox.clone(), log.clone()));
     }
     if !start.purges.is_empty() {
-        let hands = follow::Hands { shared: shared.clone(), inbox, handed: 0, knows: false };
+        let hands = follow::Hands { shared: shared.clone(), inbox, handed: 0, knows: false, has: 0 };
         let (name, services, line, log) = (start.name.clone(), start.purges, limits.line(), log.clone());
         // No other start of this member has this number: clocks go on between two of them.
         let number = clock.now().micros();
@@ -114,10 +124,22 @@
             following::purges::follow(&name, number, services, line, hands, log).await;
         });
     }
+    if !start.keepers.is_empty() {
+        let hub = follow::AuditedHub { shared: shared.clone(), inbox: inbox_of_audit };
+        spawner.spawn(following::audit::follow(hub, start.keepers, limits.line(), log.clone()));
+    }
     spawner.spawn(tell_refused(shared.clone(), log.clone()));
     let leaving = shared.clone();
     let stopped = async {
-        let _ = stop.recv().await;
+        let told = async {
+            let _ = stop.recv().await;
+        };
+        let anew = async {
+            while !leaving.anew.get() {
+                leaving.ends.listen().await;
+            }
+        };
+        or(told, anew).await;
         leave(&leaving).await;
     };
     or(turns(shared, news, below, above, log.clone()), stopped).await;
@@ -132,6 +154,12 @@
     while shared.desk.borrow().fills() > 0 && begun.elapsed() < LEAVES_WITHIN {
         Timer::after(LEAVES_AFTER / 8).await;
     }
+    let now = shared.clock.now();
+    shared.desk.borrow_mut().audit().into_iter().for_each(|audit| audit.recorder().end(now));
+    let told = || shared.desk.borrow_mut().audit().is_none_or(|audit| audit.recorder().is_told());
+    while !told() && begun.elapsed() < LEAVES_WITHIN * 2 {
+        Timer::after(LEAVES_AFTER / 8).await;
+    }
 }
 
 /// Says what was refused for want of room, where anything was.
@@ -171,8 +199,9 @@
         while let Ok(more) = news.try_recv() {
             come.push(more);
         }
-        let of_purges =
-            |news: &&News| matches!(news, News::Covered { .. } | News::Fenced(_) | News::KnowsPurges);
+        let of_purges = |news: &&News| {
+            matches!(news, News::Covered { .. } | News::Fenced(_) | News::KnowsPurges | News::HasPurges(_))
+        };
         let purges = come.iter().filter(of_purges).count() as u64;
         let orders = shared.desk.borrow_mut().step(shared.clock.now(), come.drain(..));
         if purges > 0 {
@@ -186,6 +215,11 @@
                 Order::Cancel { pull } => above.cancel(pull),
                 Order::Chase { to, chase } => above.chase(&to, &chase),
                 Order::Look { ask, to } => above.look(&to, ask),
+                Order::StartAnew(why) => {
+                    warn!(log, "starts anew: the keeper asks for it"; "why" => why);
+                    shared.ends.notify(usize::MAX);
+                    shared.anew.set(true);
+                }
                 Order::Turned(Turn::Back) => info!(log, "goes by its version again"),
                 Order::Turned(Turn::Without { lost, planned }) => {
                     let lost = lost.into_iter().collect::<Vec<_>>().join(" ");
--- a/crates/hub/src/net/up.rs
+++ b/crates/hub/src/net/up.rs
@@ -82,6 +82,7 @@
             held: None,
             body: bytes::Bytes::new(),
             way: ask.way.as_ref(),
+            mark: ask.mark.as_ref(),
         };
         let packet = node::write(&request);
         let wire = self.wire(to, ask.way.is_some());
--- a/crates/hub/src/start.rs
+++ b/crates/hub/src/start.rs
@@ -33,6 +33,9 @@
     /// The same for a service that is a group: where each of its members is.
     #[serde(default)]
     pub purge_services: Vec<String>,
+    /// The members of the keeper of the audit; empty: what it acts on is not recorded.
+    #[serde(default)]
+    pub keepers: Vec<String>,
     /// The site that it is at, for what it says of others.
     #[serde(default)]
     pub site: String,
@@ -91,6 +94,11 @@
     pub feed: Option<SocketAddr>,
     /// Members of the service of purges; none: it follows none.
     pub purges: Vec<SocketAddr>,
+    /// Members of the keeper of the audit; none: nothing is recorded.
+    pub keepers: Vec<SocketAddr>,
+    /// What this program calls itself, and a hash of this file, for that record.
+    pub build: String,
+    pub settings: u64,
     pub contents: HashMap<Bytes, Keeping>,
     pub shape: Option<ShapeForm>,
     pub bounds: Bounds,
@@ -178,6 +186,9 @@
             listen: address("listen", &self.listen)?,
             controls: addresses("control", &self.control, "controls", &self.controls)?,
             purges: addresses("purges", &self.purges, "purge_services", &self.purge_services)?,
+            keepers: addresses("keepers", &None, "keepers", &self.keepers)?,
+            build: env!("CARGO_PKG_VERSION").into(),
+            settings: harestage_audit::stamp::settings_of(&serde_json::to_vec(&self).unwrap_or_default()),
             site: self.site.clone(),
             feed: self.feed.as_deref().map(|text| address("feed", text)).transpose()?,
             contents: contents.collect(),
--- a/crates/hub/tests/rationing.rs
+++ b/crates/hub/tests/rationing.rs
@@ -53,6 +53,7 @@
         held: None,
         body: Bytes::new(),
         way: None,
+        mark: None,
     })
 }
 
--- a/crates/measure/src/lib.rs
+++ b/crates/measure/src/lib.rs
@@ -1,5 +1,6 @@
 //! Rigs on loopback, hubs and the control service as they run between stand-ins for everything else, and each area's
 //! measurement beside its baseline.
+pub mod audit;
 pub mod branch;
 pub mod effects;
 pub mod plain;
--- a/crates/measure/src/main.rs
+++ b/crates/measure/src/main.rs
@@ -10,11 +10,12 @@
         return ExitCode::SUCCESS;
     }
     let figures = match area.as_str() {
+        "audit" => harestage_measure::audit::measure(quick),
         "purge" => harestage_measure::purge::measure(quick),
         "shape" => harestage_measure::shape::measure(quick),
         "site" => harestage_measure::site::measure(quick),
         _ => {
-            eprintln!("harestage-measure: {area:?} is no area; areas: purge, shape, site");
+            eprintln!("harestage-measure: {area:?} is no area; areas: audit, purge, shape, site");
             return ExitCode::FAILURE;
         }
     };
--- a/crates/measure/src/rig.rs
+++ b/crates/measure/src/rig.rs
@@ -109,6 +109,7 @@
         controls: Vec::new(),
         feed: None,
         purges: None,
+        keepers: Vec::new(),
         purge_services: Vec::new(),
         site: String::new(),
         memory_mb: 64,
--- a/crates/measure/src/site.rs
+++ b/crates/measure/src/site.rs
@@ -126,7 +126,7 @@
 }
 
 /// The program stands beside this one.
-fn program() -> Result<PathBuf, String> {
+pub(crate) fn program() -> Result<PathBuf, String> {
     let own = std::env::current_exe().map_err(|why| why.to_string())?;
     let binary = own.with_file_name("harestage");
     match binary.exists() {
--- a/crates/router/src/program/mod.rs
+++ b/crates/router/src/program/mod.rs
@@ -3,6 +3,7 @@
 pub mod limits;
 pub mod log;
 
+use crate::routing::witness::Witness;
 use crate::routing::{News, Routing, Terms, task};
 use crate::transport::{Outside, client, feed, node};
 use async_executor::LocalExecutor;
@@ -21,39 +22,65 @@
 /// Serves what the configuration at `path` says until a signal ends it. An error is one line, and nothing
 /// listens then.
 pub fn run(path: &str) -> Result<(), String> {
-    run_with(path, Vec::new())
+    run_with(path, Vec::new(), None)
 }
 
+/// What was recorded last has so long to be told at the end.
+const LAST_WORD: std::time::Duration = std::time::Duration::from_millis(1_000);
+
+/// What somebody who attaches a witness is given.
+pub struct Attached {
+    pub name: String,
+    /// Content types by the numbers that the witness hears.
+    pub contents: Vec<String>,
+    pub clock: Clock,
+    pub inbox: async_channel::Sender<News>,
+    pub log: Logger,
+}
+
+/// The router ends when this does, as at a signal.
+pub type Beside = std::pin::Pin<Box<dyn Future<Output = ()>>>;
+pub type Attach = Box<dyn FnOnce(Attached) -> (Rc<dyn Witness>, Beside)>;
+
 /// The same where the control feed is a group: further addresses of it, one of which tells at a time. The platform has one.
-pub fn run_with(path: &str, feeds: Vec<std::net::SocketAddr>) -> Result<(), String> {
+pub fn run_with(path: &str, feeds: Vec<std::net::SocketAddr>, attach: Option<Attach>) -> Result<(), String> {
     // Before the file is read: a signal to read it again must not end what has only just begun.
     let wanted = [Signal::Term, Signal::Int, Signal::Hup];
     let signals = Signals::new(wanted).map_err(|why| format!("no signals: {why}"))?;
     let start = config::read_file(path)?;
     let (log, _written_at_end) = log::open(&start.name, start.limits.log_lines);
     let executor = Rc::new(LocalExecutor::new());
-    async_io::block_on(executor.run(serve(start, path, feeds, signals, log, executor.clone())))
+    async_io::block_on(executor.run(serve(start, path, feeds, attach, signals, log, executor.clone())))
 }
 
 async fn serve(
     start: Start,
     path: &str,
     feeds: Vec<std::net::SocketAddr>,
+    attach: Option<Attach>,
     mut signals: Signals,
     log: Logger,
     executor: Rc<LocalExecutor<'static>>,
 ) -> Result<(), String> {
-    let Start { name: _, listen, seed, feed, known_last, known, profile, kinds, outside, limits } = start;
+    let Start { name, listen, seed, feed, known_last, known, profile, kinds, outside, limits } = start;
     let limits = Rc::new(limits);
     let clock = Clock::start();
     let (inbox, news) = async_channel::bounded(limits.inbox);
     let clients = client::Clients::new(limits.clone(), clock, inbox.clone(), log.clone());
-    let nodes = node::Links::new(limits.clone(), inbox.clone(), log.clone(), executor.clone());
+    let mut nodes = node::Links::new(limits.clone(), inbox.clone(), log.clone(), executor.clone());
+    let contents = outside.contents.clone();
+    let attached = attach
+        .map(|attach| attach(Attached { name, contents, clock, inbox: inbox.clone(), log: log.clone() }));
+    let (witness, mut beside) = attached.unzip();
+    let last_word = witness.clone();
+    witness.iter().for_each(|witness: &Rc<dyn Witness>| nodes.attach(witness.clone()));
     let mut outward = Outside { clients: clients.clone(), nodes };
     let (answer_grace, call_back_settles) = (limits.answer_grace, limits.call_back_settles);
     let gone_kept = limits.gone_kept;
     let terms = Terms { profile, kinds, outside, answer_grace, call_back_settles, gone_kept };
     let mut routing = Routing::open(terms, seed, clock.now());
+    let marks = witness.is_some();
+    witness.into_iter().for_each(|witness| routing.attach(witness));
     routing.step(clock.now(), known.into_iter().map(News::Told), &mut outward);
     let listener = Async::<TcpListener>::bind(listen)
         .map_err(|why| format!("key listen: {listen} can't be listened on: {why}"))?;
@@ -68,13 +95,30 @@
         place: place_of,
         last,
         others: feeds.into(),
+        marks,
     };
     executor.spawn(feed::follow(feed)).detach();
     let listening = executor.spawn(client::listen(clients.clone(), listener, executor.clone()));
     let sweeping = executor.spawn(client::sweep(clients.clone()));
     clients.set_ready(true);
     info!(log, "ready"; "listen" => %listen, "known" => known_last, "limits" => ?limits);
-    until_told_to_end(&mut signals, path, &place, &log).await;
+    let anew = async {
+        match &mut beside {
+            Some(beside) => beside.await,
+            None => std::future::pending().await,
+        }
+    };
+    let anew_asked = or(
+        async {
+            until_told_to_end(&mut signals, path, &place, &log).await;
+            false
+        },
+        async {
+            anew.await;
+            true
+        },
+    )
+    .await;
     info!(log, "ending"; "open" => clients.open());
     let deaf_to_ends = async {
         loop {
@@ -83,6 +127,13 @@
     };
     or(drain(&clients, &limits, &log), deaf_to_ends).await;
     drop((listening, sweeping));
+    if let (Some(witness), Some(beside), false) = (last_word, beside, anew_asked) {
+        witness.ends();
+        or(beside, async {
+            Timer::after(LAST_WORD).await;
+        })
+        .await;
+    }
     info!(log, "ended"; "open" => clients.open());
     Ok(())
 }
--- a/crates/router/src/routing/mod.rs
+++ b/crates/router/src/routing/mod.rs
@@ -2,6 +2,7 @@
 //! `Outward`; time-outs, deadlines and the register of what is open are kept here. Nothing here decides.
 pub mod nodes;
 pub mod task;
+pub mod witness;
 
 use harestage::brain::Brain;
 use harestage::door::{Event, Order, Pull, Register, ServiceProfile};
@@ -10,11 +11,13 @@
 use harestage_profile::{Kinds, Outside};
 use harestage_sockets::clock;
 use harestage_wire::client::{ToClient, Wish};
-use harestage_wire::feed::Told;
+use harestage_wire::feed::{Marks, Told};
 use harestage_wire::node::{Answer, Request, Word};
 use harestage_wire::{Packet, fields::Hex, node};
 use nodes::{Contact, Contacts, NodeNo};
 use std::collections::{BTreeMap, HashMap, HashSet};
+use std::rc::Rc;
+use witness::{Became, Witness};
 
 pub type ClientNo = u64;
 pub type PullNo = u64;
@@ -33,12 +36,30 @@
 
 #[derive(Clone, Debug)]
 pub enum News {
-    Asked { client: ClientNo, tag: u64, wish: Wish, at: Moment },
-    NeverMind { client: ClientNo, tag: u64 },
-    HungUp { client: ClientNo },
-    Answered { pull: PullNo, answer: Answer },
-    Lost { pull: PullNo, loss: Loss },
+    Asked {
+        client: ClientNo,
+        tag: u64,
+        wish: Wish,
+        at: Moment,
+    },
+    NeverMind {
+        client: ClientNo,
+        tag: u64,
+    },
+    HungUp {
+        client: ClientNo,
+    },
+    Answered {
+        pull: PullNo,
+        answer: Answer,
+    },
+    Lost {
+        pull: PullNo,
+        loss: Loss,
+    },
     Told(Told),
+    /// What the events before it amount to; only where a witness is attached.
+    GoesBy(Marks),
 }
 
 /// Where answers and pulls go. Every call only queues: none of them waits.
@@ -84,6 +105,8 @@
     answered: bool,
     /// All its pulls, by the numbers that the core gives them.
     pulls: Vec<PullNo>,
+    /// What the router went by when the last of them was made, where somebody records it.
+    acted: Option<u64>,
 }
 
 /// What a routing task is told at its start.
@@ -119,6 +142,9 @@
     rung: u64,
     last_dl: DlNo,
     last_pull: PullNo,
+    witness: Option<Rc<dyn Witness>>,
+    /// The moment of the turn, for the witness.
+    now: Moment,
 }
 
 impl Routing {
@@ -144,9 +170,16 @@
             rung: 0,
             last_dl: 0,
             last_pull: 0,
+            witness: None,
+            now,
         }
     }
 
+    /// From now on this hears of what the router does.
+    pub fn attach(&mut self, witness: Rc<dyn Witness>) {
+        self.witness = Some(witness);
+    }
+
     /// Downloads that are not answered yet.
     pub fn unanswered(&self) -> usize {
         self.open.len()
@@ -160,6 +193,7 @@
     /// Takes in what has come up to `now` and carries out what the core orders on it. News go before bells,
     /// so that an answer that is here in time is not lost to a time-out of the same turn.
     pub fn step(&mut self, now: Moment, news: impl Iterator<Item = News>, outward: &mut dyn Outward) {
+        self.now = now;
         for news in news {
             self.take_in(news, now, outward);
         }
@@ -196,13 +230,24 @@
                 self.ended(pull, ending, Remark::Nothing, Span::ZERO, now);
             }
             News::Told(told) => self.told(told, now, outward),
+            News::GoesBy(marks) => self.witness.iter().for_each(|witness| witness.goes_by(&marks, now)),
         }
     }
 
+    /// Turned away before the core hears of it: this process may not act on what it has.
+    fn turned_away(&self, content: ContentIx, id: u64, now: Moment) -> Option<u64> {
+        let witness = self.witness.as_ref().filter(|witness| !witness.may_act())?;
+        witness.ended(content, Became::Throttled, id, None, now);
+        Some(witness.come_again_ms())
+    }
+
     fn asked(&mut self, client: ClientNo, tag: u64, wish: Wish, at: Moment, outward: &mut dyn Outward) {
         let Some(content) = self.contents.get(wish.content.as_ref()).copied() else {
             return outward.answer(client, tag, ToClient::Abandoned);
         };
+        if let Some(retry_after_ms) = self.turned_away(content, wish.id.number(), at) {
+            return outward.answer(client, tag, ToClient::Throttled { retry_after_ms });
+        }
         // Guards against a client that uses the id of another download: on one connection to a node the answers
         // to both could not be told apart, and the bytes of one object would pass for the other's.
         if !self.ids.insert(wish.id) {
@@ -221,8 +266,9 @@
             repeat: wish.repeat,
         };
         let deadline = self.set(leaves_at, Bell::Deadline(dl));
-        let (answered, pulls) = (false, Vec::new());
-        self.held.insert(dl, Held { client, tag, wish, content, leaves_at, deadline, answered, pulls });
+        let (answered, pulls, acted) = (false, Vec::new(), None);
+        let held = Held { client, tag, wish, content, leaves_at, deadline, answered, pulls, acted };
+        self.held.insert(dl, held);
         self.open.insert((client, tag), dl);
         self.events.push(Event::Arrived { dl: self.register.enter_dl(dl), download });
     }
@@ -240,15 +286,30 @@
         if self.close(dl).is_none() {
             return;
         }
+        self.witnessed(dl, Became::Left);
         self.events.extend(self.register.dl(dl).map(|dl| Event::Left { dl }));
     }
 
     fn reply(&mut self, dl: DlNo, answer: ToClient, outward: &mut dyn Outward) {
         if let Some((client, tag)) = self.close(dl) {
+            if self.witness.is_some() {
+                let became = match &answer {
+                    ToClient::Fulfilled { .. } | ToClient::StillGood => Became::Fulfilled,
+                    ToClient::Throttled { .. } => Became::Throttled,
+                    _ => Became::Abandoned,
+                };
+                self.witnessed(dl, became);
+            }
             outward.answer(client, tag, answer);
         }
     }
 
+    fn witnessed(&self, dl: DlNo, became: Became) {
+        if let Some((witness, held)) = self.witness.as_ref().zip(self.held.get(&dl)) {
+            witness.ended(held.content, became, held.wish.id.number(), held.acted, self.now);
+        }
+    }
+
     fn pull_answered(&mut self, pull: PullNo, answer: Answer, now: Moment, outward: &mut dyn Outward) {
         let Some(out) = self.out.get(&pull) else { return };
         let dl = out.dl;
@@ -435,10 +496,13 @@
         self.last_pull += 1;
         let (pull, number) = (self.last_pull, held.pulls.len() as u8);
         held.pulls.push(pull);
+        held.acted = self.witness.as_ref().map(|witness| witness.acts_by()).or(held.acted);
         let until = match order.time_out {
             Span::ZERO => held.leaves_at,
             time_out => held.leaves_at.min(now + time_out),
         };
+        let may_act = self.witness.as_ref().is_none_or(|witness| witness.may_act());
+        let mark = self.witness.as_ref().filter(|_| may_act).and_then(|w| w.pulled(&contact.name, now));
         let request = Request {
             id: held.wish.id,
             content: &self.outside.contents[held.content.0 as usize],
@@ -457,8 +521,10 @@
             body: held.wish.body.clone(),
             // Nodes of the platform know no fields beyond its protocol.
             way: None,
+            mark: mark.as_ref(),
         };
-        let queued = until > now && outward.pull(node, contact, pull, held.wish.id, node::write(&request));
+        let queued =
+            may_act && until > now && outward.pull(node, contact, pull, held.wish.id, node::write(&request));
         let source = source.map(|(source, _)| source);
         self.out.insert(pull, Out { dl, number, node, source, sent: now });
         if !queued {
--- /dev/null
+++ b/crates/router/src/routing/witness.rs
@@ -0,0 +1,33 @@
+//! What an installation that is audited attaches to a router: it hears what the router goes by and what became of downloads,
+//! and may say that no further order goes out. The platform's router has none, and links nothing for it.
+use harestage::state::ContentIx;
+use harestage::time::Moment;
+use harestage_wire::feed::Marks;
+use harestage_wire::peer::Mark;
+
+/// What became of a download.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Became {
+    Fulfilled,
+    Throttled,
+    Abandoned,
+    Left,
+}
+
+/// Whoever watches. Calls come from the routing task and from writers of connections, none of them waits.
+pub trait Witness {
+    /// Everything that was told before is taken in; from here on the router goes by this.
+    fn goes_by(&self, marks: &Marks, now: Moment);
+    /// Whether an order may go out, by the clock as it is now: the process may have been stopped since its turn began.
+    fn may_act(&self) -> bool;
+    /// When whoever is turned away for that may come again, in milliseconds.
+    fn come_again_ms(&self) -> u64;
+    /// `acted`: what [`Witness::acts_by`] said when its last pull went out; none: it had no pull.
+    fn ended(&self, content: ContentIx, became: Became, id: u64, acted: Option<u64>, now: Moment);
+    /// A number for what the router goes by now.
+    fn acts_by(&self) -> u64;
+    /// Nothing more will come: what is open is to be told before the router ends.
+    fn ends(&self);
+    /// A pull goes out to that node; none: nothing of the router is told to it.
+    fn pulled(&self, node: &str, now: Moment) -> Option<Mark>;
+}
--- a/crates/router/src/transport/feed.rs
+++ b/crates/router/src/transport/feed.rs
@@ -44,6 +44,8 @@
     pub last: u64,
     /// Further addresses of the feed, where it is told by a group: after a break the next one is tried.
     pub others: VecDeque<SocketAddr>,
+    /// Somebody records what the router goes by.
+    pub marks: bool,
 }
 
 impl Feed {
@@ -130,6 +132,11 @@
                     // In this order: a move to another address may end this while it waits for room, and what
                     // was not passed on must be asked for again.
                     let _ = feed.inbox.send(News::Told(told)).await;
+                    if feed.marks
+                        && let Some(marks) = feed::read_marks(line)
+                    {
+                        let _ = feed.inbox.send(News::GoesBy(marks)).await;
+                    }
                     feed.last = n;
                 }
                 Ok(Line::Event(n, _)) | Ok(Line::Beat(n)) if n <= feed.last => {}
--- a/crates/router/src/transport/node.rs
+++ b/crates/router/src/transport/node.rs
@@ -3,6 +3,7 @@
 use super::{Executor, Source, Stream, write_packets};
 use crate::program::limits::Limits;
 use crate::routing::nodes::{Contact, NodeNo};
+use crate::routing::witness::Witness;
 use crate::routing::{Loss, News, PullNo};
 use async_channel::Sender;
 use async_io::{Async, Timer};
@@ -11,12 +12,15 @@
 use harestage_wire::resp::{Bounds, Decoder};
 use harestage_wire::{Packet, fields::Hex, node};
 use slog::{Logger, debug, info, warn};
-use std::cell::{Cell, RefCell};
+use std::cell::{Cell, OnceCell, RefCell};
 use std::collections::{HashMap, VecDeque};
 use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+/// How often a write that is under way looks whether it may go on.
+const LAPSE: Duration = Duration::from_millis(50);
+
 struct Queued {
     /// None: this is a cancel.
     pull: Option<(PullNo, Hex)>,
@@ -105,6 +109,14 @@
     inbox: Sender<News>,
     log: Logger,
     wires: Cell<usize>,
+    /// The platform's router has none.
+    witness: OnceCell<Rc<dyn Witness>>,
+}
+
+impl Common {
+    fn may_act(&self) -> bool {
+        self.witness.get().is_none_or(|witness| witness.may_act())
+    }
 }
 
 /// All connections to nodes.
@@ -116,10 +128,15 @@
 
 impl Links {
     pub fn new(limits: Rc<Limits>, inbox: Sender<News>, log: Logger, executor: Executor) -> Links {
-        let common = Rc::new(Common { limits, inbox, log, wires: Cell::new(0) });
+        let common = Rc::new(Common { limits, inbox, log, wires: Cell::new(0), witness: OnceCell::new() });
         Links { common, executor, wires: HashMap::new() }
     }
 
+    /// From now on nothing is written while this says that the router may not act.
+    pub fn attach(&mut self, witness: Rc<dyn Witness>) {
+        let _ = self.common.witness.set(witness);
+    }
+
     pub fn pull(&mut self, node: NodeNo, contact: &Contact, pull: PullNo, id: Hex, packet: Packet) -> bool {
         let Some(address) = contact.address else { return false };
         let limits = self.common.limits.clone();
@@ -240,7 +257,7 @@
             wire.brought.set(Instant::now());
             let stream = Rc::new(stream);
             // A task of its own: what wakes one side must not make the other try its socket for nothing.
-            let writer = executor.spawn(write(wire.clone(), stream.clone()));
+            let writer = executor.spawn(write(common.clone(), wire.clone(), stream.clone()));
             let why = or(or(read(&common, &wire, &stream, &name), writer), watch(&common, &wire)).await;
             debug!(common.log, "node connection ended"; "node" => &name, "why" => &why);
         }
@@ -301,7 +318,7 @@
     }
 }
 
-async fn write(wire: Rc<Wire>, stream: Rc<Stream>) -> String {
+async fn write(common: Rc<Common>, wire: Rc<Wire>, stream: Rc<Stream>) -> String {
     loop {
         let next = wire.queue.borrow_mut().pop_front();
         let Some(Queued { pull, packet }) = next else {
@@ -311,13 +328,23 @@
             }
             continue;
         };
+        if pull.is_some() && !common.may_act() {
+            // It has not left, and proves so by its end.
+            wire.queue.borrow_mut().push_front(Queued { pull, packet });
+            return "this router may not act".into();
+        }
         wire.writing.set(pull);
         wire.writes.set(Some(Instant::now()));
-        let wrote = write_packets(&stream, &[packet], |_| {}).await;
+        let packets = [packet];
+        let whole = async { write_packets(&stream, &packets, |_| {}).await.map_err(|why| why.to_string()) };
+        let wrote = match common.witness.get() {
+            None => whole.await,
+            Some(witness) => or(lapse(witness.as_ref()), whole).await,
+        };
         wire.writes.set(None);
         wire.busy.set(Instant::now());
         if let Err(why) = wrote {
-            return why.to_string();
+            return why;
         }
         if let Some((no, id)) = pull {
             if wire.writing.take() == Some((no, id)) {
@@ -330,6 +357,14 @@
     }
 }
 
+/// Ends a write whose right has run out half way: what was not written whole never runs.
+async fn lapse(witness: &dyn Witness) -> Result<(), String> {
+    while witness.may_act() {
+        Timer::after(LAPSE).await;
+    }
+    Err("this router may not act".into())
+}
+
 /// Closes what nobody needs any more: a connection that was replaced once its pulls are over, and one that
 /// has been idle, before the node closes it on a pull that is just being written. Ends one on which an answer
 /// stopped half way: what else is open there gets no answer either.
--- a/crates/segments/src/files.rs
+++ b/crates/segments/src/files.rs
@@ -43,13 +43,26 @@
 impl Folder {
     /// Makes the folder if there is none. An error of the kind `WouldBlock`: another program holds it.
     pub fn open(path: &Path) -> io::Result<Folder> {
+        Folder::open_kept(path, SYNCED_COPY.get().cloned())
+    }
+
+    /// A folder within another that this process has, by its name: a second folder of the outer one has it within, too.
+    pub fn open_within(outer: &Path, name: &str) -> io::Result<Folder> {
+        let kept = SYNCED_COPY.get().map(|kept| kept.join(name));
+        if let Some(kept) = &kept {
+            std::fs::create_dir_all(kept)?;
+        }
+        Folder::open_kept(&outer.join(name), kept)
+    }
+
+    fn open_kept(path: &Path, kept: Option<PathBuf>) -> io::Result<Folder> {
         std::fs::create_dir_all(path)?;
         let lock = OpenOptions::new().write(true).create(true).truncate(false).open(path.join("lock"))?;
         lock.try_lock().map_err(|why| match why {
             std::fs::TryLockError::WouldBlock => io::ErrorKind::WouldBlock.into(),
             std::fs::TryLockError::Error(why) => why,
         })?;
-        let kept = SYNCED_COPY.get().map(|kept| Mirror { path: kept.clone(), renamed: Vec::new() });
+        let kept = kept.map(|path| Mirror { path, renamed: Vec::new() });
         Ok(Folder { path: path.into(), open: None, kept, _lock: lock })
     }
 
@@ -127,7 +140,8 @@
 
 impl Mirror {
     fn fails(&self) -> io::Result<()> {
-        match std::fs::read_to_string(self.path.join("disk-state")) {
+        let outer = SYNCED_COPY.get().unwrap_or(&self.path);
+        match std::fs::read_to_string(outer.join("disk-state")) {
             Ok(state) if state == "full" => Err(io::ErrorKind::StorageFull.into()),
             Ok(_) => Err(io::Error::other("the disk fails")),
             Err(_) => Ok(()),
@@ -148,18 +162,22 @@
             }
         }
         for entry in std::fs::read_dir(&self.path)? {
-            let name = entry?.file_name();
-            if name != "disk-state" && !from.join(&name).exists() {
+            let (name, is_folder) = named(entry?)?;
+            if !is_folder && name != "disk-state" && !from.join(&name).exists() {
                 std::fs::remove_file(self.path.join(&name))?;
             }
         }
         // A file that was made and never synced has a name and no bytes.
         for entry in std::fs::read_dir(from)? {
-            let name = entry?.file_name();
-            if name != "lock" && !self.path.join(&name).exists() {
+            let (name, is_folder) = named(entry?)?;
+            if !is_folder && name != "lock" && !self.path.join(&name).exists() {
                 File::create(self.path.join(&name))?;
             }
         }
         Ok(())
     }
 }
+
+fn named(entry: std::fs::DirEntry) -> io::Result<(std::ffi::OsString, bool)> {
+    Ok((entry.file_name(), entry.file_type()?.is_dir()))
+}
--- a/crates/shape/src/feed.rs
+++ b/crates/shape/src/feed.rs
@@ -22,7 +22,15 @@
     };
     endpoints.sort_by(|a, b| a["name"].as_str().cmp(&b["name"].as_str()));
     let members = json!({"index": number, "snapshot": snapshot, "endpoints": endpoints});
-    (json!({"n": number, "members": members}).to_string() + "\n").into_bytes()
+    // The version stands beside, for whoever records what it goes by.
+    (json!({"n": number, "members": members, "version": now.version()}).to_string() + "\n").into_bytes()
+}
+
+/// An event that changes nothing, and says what whoever takes it goes by: the purges that were told before it, and the sites
+/// that a plan leaves out.
+pub fn marks(number: u64, purges: u64, plan: &str) -> Vec<u8> {
+    let members = json!({"index": number, "snapshot": false, "endpoints": []});
+    (json!({"n": number, "members": members, "purges": purges, "plan": plan}).to_string() + "\n").into_bytes()
 }
 
 /// Copies of an object, or of a group, that were given out up to then are old.
--- a/crates/shape/src/lines.rs
+++ b/crates/shape/src/lines.rs
@@ -86,6 +86,17 @@
     Some((last.parse().ok()?, name)).filter(|_| is_name(name))
 }
 
+/// The first line of a member that is told whole versions, with all branches.
+pub fn subscribe_all(last: u64, name: &str) -> String {
+    format!("ALL {last} {name}\n")
+}
+
+/// The number and name of such a line; none for anything else.
+pub fn read_subscribe_all(line: &str) -> Option<(u64, &str)> {
+    let (last, name) = line.strip_prefix("ALL ")?.split_once(' ')?;
+    Some((last.parse().ok()?, name)).filter(|_| is_name(name))
+}
+
 /// The first line of a branch's own feed.
 pub fn subscribe_branch(last: u64, name: &str, branch: &str) -> String {
     format!("BRANCH {last} {name} {branch}\n")
--- a/crates/standins/src/archive.rs
+++ b/crates/standins/src/archive.rs
@@ -102,7 +102,7 @@
         let copy = Some(CopyTag { digest, dated_ms, group: Some((object % 256) as u32) });
         let body = Bytes::from(vec![(object % 251) as u8; script.body_bytes]);
         let (id, word, remark) = (asked.id, Word::Good, Remark::Nothing);
-        Some(Given { id, word, remark, first_ms: 0.0, copy, body, come_ms: None })
+        Some(Given { id, word, remark, first_ms: 0.0, copy, body, come_ms: None, why: None })
     }
 
     /// From now on it behaves so.
--- a/crates/standins/src/edge.rs
+++ b/crates/standins/src/edge.rs
@@ -10,6 +10,14 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+/// By download: who pulled it, and under what.
+#[derive(Default)]
+struct Acts {
+    by_id: HashMap<u64, (String, String)>,
+    /// Pulls since they were last taken.
+    lately: HashMap<(String, String), u64>,
+}
+
 type Store = HashMap<(u64, u32), (CopyTag, Bytes)>;
 
 #[derive(Clone)]
@@ -18,6 +26,8 @@
     /// Where the sources are that pulls may name.
     pub sources: Arc<Mutex<HashMap<String, SocketAddr>>>,
     store: Arc<Mutex<Store>>,
+    /// Under what each marked download was pulled last, and what of that was said.
+    acts: Arc<Mutex<Acts>>,
     /// Fills that went to each source.
     filled: Arc<Mutex<HashMap<String, usize>>>,
     ids: Arc<AtomicU64>,
@@ -35,6 +45,7 @@
             address: listener.local_addr().expect("it is bound"),
             sources: Arc::default(),
             store: Arc::default(),
+            acts: Arc::default(),
             filled: Arc::default(),
             ids: Arc::new(AtomicU64::new(1)),
             idle: Arc::default(),
@@ -48,7 +59,26 @@
         self.filled.lock().expect("no holder panics").get(source).copied().unwrap_or(0)
     }
 
+    /// Marked pulls since this was last asked for, by who made them and under what.
+    pub fn take_acts(&self) -> Vec<((String, String), u64)> {
+        std::mem::take(&mut self.acts.lock().expect("no holder panics").lately).into_iter().collect()
+    }
+
+    /// Downloads by who pulled them, and under what the last time.
+    pub fn downloads(&self) -> HashMap<(String, String), u64> {
+        let mut many = HashMap::new();
+        let acts = self.acts.lock().expect("no holder panics");
+        acts.by_id.values().for_each(|act| *many.entry(act.clone()).or_insert(0) += 1);
+        many
+    }
+
     fn reply(&self, asked: Asked) -> Given {
+        if let Some(mark) = &asked.mark {
+            let mut acts = self.acts.lock().expect("no holder panics");
+            let act = (mark.by.clone(), mark.stamp.clone());
+            *acts.lately.entry(act.clone()).or_default() += 1;
+            acts.by_id.insert(asked.id.number(), act);
+        }
         let key = (asked.object.number(), asked.part);
         let held = self.store.lock().expect("no holder panics").get(&key).cloned();
         let given = |word, remark, copy, body| Given {
@@ -59,6 +89,7 @@
             copy,
             body,
             come_ms: None,
+            why: None,
         };
         if let Some((copy, body)) = held.filter(|_| asked.body.is_empty()) {
             return given(Word::Good, Remark::Hit, Some(copy), body);
--- a/crates/standins/src/script.rs
+++ b/crates/standins/src/script.rs
@@ -1,5 +1,5 @@
 //! Stand-ins by a script in JSON: which there are, and what happens to their links when.
-use crate::{Archive, ArchiveScript, CrowdPlace, Edge, Fault, Front, Link, Machine, crowd, say};
+use crate::{Archive, ArchiveScript, CrowdPlace, Edge, Fault, Front, LiarPlace, Link, Machine, crowd, say};
 use serde::Deserialize;
 use serde_json::json;
 use std::collections::HashMap;
@@ -16,6 +16,7 @@
     pub links: Vec<LinkPlace>,
     pub crowds: Vec<CrowdPlace>,
     pub fronts: Vec<FrontPlace>,
+    pub liars: Vec<LiarPlace>,
     /// How long it all lasts; absent: ten minutes.
     pub lasts_ms: Option<u64>,
 }
@@ -107,9 +108,11 @@
     pub fn play(&self, stop: &Arc<AtomicBool>) -> Result<(), ScriptError> {
         let archives = self.archives.iter().map(|place| Ok(Archive::on(bind(place.listen)?, place.behaves)));
         let archives: Vec<Archive> = archives.collect::<Result<_, ScriptError>>()?;
+        let mut edges = Vec::new();
         for place in &self.edges {
             let edge = Edge::on(bind(place.listen)?);
             edge.sources.lock().expect("no holder panics").extend(place.sources.clone());
+            edges.push(edge);
         }
         let mut due = Vec::new();
         for place in &self.links {
@@ -125,6 +128,15 @@
             std::thread::spawn(move || crowd::play(place, &stop))
         });
         let crowds: Vec<_> = crowds.collect();
+        let liars: Vec<_> = self
+            .liars
+            .iter()
+            .cloned()
+            .map(|place| {
+                let stop = stop.clone();
+                std::thread::spawn(move || crate::liar::play(&place, &stop))
+            })
+            .collect();
         say("ready", json!({}));
         let (begun, lasts) = (Instant::now(), Duration::from_millis(self.lasts_ms.unwrap_or(600_000)));
         let mut told = vec![0; archives.len()];
@@ -134,13 +146,19 @@
                 link.set(fault);
             }
             archives.iter().zip(&mut told).for_each(|(archive, told)| tell(archive, told));
+            for ((by, stamp), pulls) in edges.iter().flat_map(Edge::take_acts) {
+                say("acts", json!({"by": by, "stamp": stamp, "pulls": pulls}));
+            }
             for front in &fronts {
                 say("front", json!({"share": front.take_lately(), "fell": front.has_fallen()}));
             }
             std::thread::sleep(TELLS_EVERY);
         }
         stop.store(true, Ordering::Relaxed);
-        crowds.into_iter().for_each(|crowd| drop(crowd.join()));
+        crowds.into_iter().chain(liars).for_each(|player| drop(player.join()));
+        for ((by, stamp), downloads) in edges.iter().flat_map(Edge::downloads) {
+            say("acted", json!({"by": by, "stamp": stamp, "downloads": downloads}));
+        }
         for (archive, told) in archives.iter().zip(&mut told) {
             tell(archive, told);
             let (ran, doubled) = archive.filings();
--- a/crates/standins/src/talk.rs
+++ b/crates/standins/src/talk.rs
@@ -85,6 +85,7 @@
         held: None,
         body: Bytes::new(),
         way: None,
+        mark: None,
     }
 }
 
--- a/crates/wire/src/feed.rs
+++ b/crates/wire/src/feed.rs
@@ -35,6 +35,25 @@
     Event(u64, Told),
 }
 
+/// Numbers of our services that an event may name beside what the platform's feed says: what whoever takes it goes by
+/// from then on. Only routers of installations that are audited look for them.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Marks {
+    pub version: Option<u64>,
+    pub purges: Option<u64>,
+    /// Sites that are left out by a plan, while no service speaks; empty: none.
+    pub plan: Option<String>,
+}
+
+/// None: the line names none.
+pub fn read_marks(line: &[u8]) -> Option<Marks> {
+    let json: Value = serde_json::from_slice(line).ok()?;
+    let number = |key: &str| json.get(key).and_then(Value::as_u64);
+    let plan = json.get("plan").and_then(Value::as_str).map(str::to_string);
+    let marks = Marks { version: number("version"), purges: number("purges"), plan };
+    (marks != Marks::default()).then_some(marks)
+}
+
 pub fn subscribe(last: u64) -> Vec<u8> {
     format!("SUB {last}\n").into_bytes()
 }
--- a/crates/wire/src/node.rs
+++ b/crates/wire/src/node.rs
@@ -1,7 +1,7 @@
 //! What caches, parents and the origin are sent and answer.
 use crate::Packet;
 use crate::fields::{self, Fields, Hex};
-use crate::peer::{self, Chase, Way};
+use crate::peer::{self, Chase, Mark, Way};
 use crate::resp;
 use bytes::Bytes;
 use harestage::state::Remark;
@@ -26,6 +26,8 @@
     pub body: Bytes,
     /// What only hubs of ours tell each other; none towards a node of the platform.
     pub way: Option<&'a Way>,
+    /// What only hubs of ours are told; none towards a node of the platform.
+    pub mark: Option<&'a Mark>,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -69,6 +71,9 @@
         .with_some("via", request.way.map(|way| peer::path_text(&way.path)))
         .with_some("ver", request.way.map(|way| way.version))
         .with_some("hand", request.way.filter(|way| way.hand_over).map(|_| 1))
+        .with_some("by", request.mark.map(|mark| &mark.by))
+        .with_some("for", request.mark.map(|mark| &mark.place))
+        .with_some("goes", request.mark.map(|mark| &mark.stamp))
         .or("-");
     let items = [b"serve", request.id.as_str().as_bytes(), fields.as_bytes()];
     Packet { head: resp::head(&items, request.body.len()), body: request.body.clone() }
@@ -146,6 +151,8 @@
     pub body: Bytes,
     /// None: it does not come from a hub of ours.
     pub way: Option<Way>,
+    /// None: nobody records what its puller goes by.
+    pub mark: Option<Mark>,
 }
 
 /// All that a node may be sent.
@@ -181,6 +188,7 @@
     let (mut content, mut object, mut part, mut waits_ms) = (None, None, Some(0), None);
     let (mut source, mut rank, mut oldest_ms, mut hints) = (None, Some(0), None, Bytes::new());
     let (mut held, mut via, mut version, mut hand_over) = (None, None, None, false);
+    let (mut by, mut place, mut stamp) = (None, None, None);
     for (name, value) in fields::read(&items[2]) {
         match name {
             b"kind" => content = read_tag(&value),
@@ -195,9 +203,16 @@
             b"via" => via = Some(peer::read_path(&value)?),
             b"ver" => version = Some(fields::whole(&value)?),
             b"hand" => hand_over = value.as_ref() == b"1",
+            b"by" => by = Some(text(&value).filter(|by| peer::is_name(by))?),
+            b"for" => place = Some(text(&value).filter(|place| peer::is_name(place))?),
+            b"goes" => stamp = Some(text(&value).filter(|stamp| peer::is_stamp(stamp))?),
             _ => {}
         }
     }
+    let mark = match (by, place, stamp) {
+        (Some(by), Some(place), Some(stamp)) => Some(Mark { by, place, stamp }),
+        _ => None,
+    };
     let hint = |word: &[u8]| hints.split(|b| *b == b'+').any(|hint| hint == word);
     let way = via.map(|path| Way { path, version: version.unwrap_or(0), hand_over });
     Some(Asked {
@@ -216,9 +231,14 @@
         held,
         body: items[3].clone(),
         way,
+        mark,
     })
 }
 
+fn text(value: &Bytes) -> Option<String> {
+    String::from_utf8(value.to_vec()).ok()
+}
+
 /// An answer as a node gives it.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Given {
@@ -231,6 +251,8 @@
     pub body: Bytes,
     /// Milliseconds after which whoever was refused may come again; told to hubs of ours only.
     pub come_ms: Option<u64>,
+    /// Why it was refused, in a word; told to those only whose pulls are marked.
+    pub why: Option<&'static str>,
 }
 
 /// What tells one copy from another.
@@ -260,6 +282,7 @@
         .with_some("dated", copy.map(|c| c.dated_ms))
         .with_some("group", copy.and_then(|c| c.group))
         .with_some("come", given.come_ms)
+        .with_some("why", given.why)
         .or("-");
     let items = [given.id.as_str().as_bytes(), word.as_bytes(), fields.as_bytes()];
     Packet { head: resp::head(&items, given.body.len()), body: given.body.clone() }
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -30,6 +30,24 @@
     pub hand_over: bool,
 }
 
+/// Under what a pull was made, where that is recorded: who made it, for which place of the shape, and the compact stamp of
+/// all that it went by. Told to hubs of ours only.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Mark {
+    pub by: String,
+    pub place: String,
+    pub stamp: String,
+}
+
+/// Bytes of a stamp, at most.
+const LONGEST_STAMP: usize = 64;
+
+/// Letters of a stamp: hex digits, numbers and dots.
+pub(crate) fn is_stamp(text: &str) -> bool {
+    let plain = |b: u8| b.is_ascii_alphanumeric() || b == b'.';
+    (1..=LONGEST_STAMP).contains(&text.len()) && text.bytes().all(plain)
+}
+
 /// Follows the fills that wait for each other, from hub to hub, until it finds an end or its own beginning.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Chase {
