--- a/crates/branch/src/net.rs
+++ b/crates/branch/src/net.rs
@@ -122,7 +122,7 @@
             let (name, services, number) = (start.name, start.purges, shared.clock.now().micros());
             let (hands, log) = (Purges(shared.clone()), log.clone());
             spawner.spawn(async move {
-                purges::follow(&name, number, services, line(), hands, log).await;
+                purges::follow(&name, number, 0, services, line(), hands, log).await;
             });
         }
         if !start.keepers.is_empty() {
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -8,6 +8,7 @@
 mod purge;
 mod shape;
 mod site;
+mod start;
 mod witness;
 
 use clap::{Parser, Subcommand};
@@ -105,6 +106,11 @@
         #[command(subcommand)]
         what: purge::Purge,
     },
+    /// What is trusted at a start, and where the starts of hubs are.
+    Start {
+        #[command(subcommand)]
+        what: start::StartOf,
+    },
     /// Run a branch's own feed: it tells the branch's routers of hubs and purges, also while no service can be reached.
     Feed {
         /// The feed's file; `harestage schema feed` says what may stand in it.
@@ -171,6 +177,7 @@
     }
     let told = match what {
         What::Hub { file } => hub(&file, log),
+        What::Start { what } => return start::run(what),
         What::Feed { file } => feed(&file, log),
         What::Control { listen, journal, first, group } => control(listen, &journal, first, &group, log),
         What::Purges { listen, folder, group } => purges(listen, &folder, &group, log),
--- a/crates/cli/tests/audit.rs
+++ b/crates/cli/tests/audit.rs
@@ -448,3 +448,88 @@
     assert!(code == 4 || code == 1, "{said}");
     let _ = std::fs::remove_dir_all(folder);
 }
+
+/// One line of JSON to a service, and its first answer.
+fn tell(at: std::net::SocketAddr, what: &Value) -> Value {
+    use std::io::{BufRead, BufReader, Write};
+    let Ok(stream) = std::net::TcpStream::connect_timeout(&at, Duration::from_secs(2)) else {
+        return Value::Null;
+    };
+    let _ = stream.set_read_timeout(Some(Duration::from_secs(5)));
+    let _ = (&stream).write_all(format!("{what}\n").as_bytes());
+    let mut line = String::new();
+    let _ = BufReader::new(stream).read_line(&mut line);
+    serde_json::from_str(&line).unwrap_or_default()
+}
+
+/// The member of the control service that speaks, by who answers.
+fn speaking(fleet: &Fleet, what: &Value) -> (std::net::SocketAddr, Value) {
+    for _ in 0..50 {
+        for n in 1..=3 {
+            let Some(at) = fleet.address(&format!("@control-{n}")) else { continue };
+            let answer = tell(at, what);
+            if !answer.is_null() && answer.get("elsewhere").is_none() {
+                return (at, answer);
+            }
+        }
+        std::thread::sleep(Duration::from_millis(200));
+    }
+    panic!("nobody speaks for the control service");
+}
+
+/// A version that a third of those who report can't take is withdrawn by the keeper: the control service goes back to the one
+/// before, while half of the fleet has the newer one already. The members that refuse it are stand-ins.
+#[test]
+fn a_version_that_many_refuse_is_taken_back_while_half_have_it() {
+    use std::sync::atomic::{AtomicBool, Ordering};
+    let _turn = turn();
+    let mut fleet = launch_scenario(three().scenario());
+    all_are_audited(&mut fleet, 12);
+    let (_, before) = speaking(&fleet, &json!("shape"));
+    let mut form = before["shape"].clone();
+    let old = form["version"].as_u64().unwrap_or(0);
+    let ties = |form: &Value| form["branches"][0]["hubs"].clone();
+    let first = ties(&form);
+    form["version"] = 0.into();
+    form["branches"][0]["hubs"] = json!(["hub-east-1", "hub-west-1", "hub-north-1"]);
+    let (stop, keeper) = (std::sync::Arc::new(AtomicBool::new(false)), fleet.address("!keeper-1").unwrap());
+    let (at, _) = speaking(&fleet, &json!("status"));
+    let begun = tell(at, &json!({"apply": {"form": form, "expect": null, "by": "anna"}}));
+    assert!(begun["said"].is_object(), "{begun}");
+    let seen = until(&mut fleet, "the change is out", &["status"], |s| s["shape"].as_u64() > Some(old));
+    let due = seen["shape"].as_u64().unwrap_or(0);
+    // Seven hubs that are not the program's refuse it from the start; the runner's change ends meanwhile.
+    let refusing: Vec<_> = (0..7)
+        .map(|n| {
+            let stop = stop.clone();
+            std::thread::spawn(move || {
+                let report = json!({"audited": {"member": format!("other-{n}"), "start": 1, "role": "hub", "site": "mars",
+                    "now_ms": 1, "stamp": format!("{:016x}.{old}.0", 5), "refuses": [due, "no such place"]}});
+                while !stop.load(Ordering::Relaxed) {
+                    tell(keeper, &report);
+                    std::thread::sleep(Duration::from_millis(300));
+                }
+            })
+        })
+        .collect();
+    let withdrawn = fleet.wait_for(LONG, |e| e.by == "keeper-1" && e.says == "version withdrawn");
+    assert_eq!(withdrawn.and_then(|e| e.number("shape")), Some(due as f64));
+    let back =
+        fleet.wait_for(LONG, |e| e.by == "keeper-1" && (e.says == "goes back" || e.says == "not gone back"));
+    let back = back.expect("it asks for the one before");
+    assert_eq!(back.says, "goes back", "{back}");
+    let begun = Instant::now();
+    loop {
+        let (_, shape) = speaking(&fleet, &json!("shape"));
+        if ties(&shape["shape"]) == first && shape["shape"]["version"].as_u64() > Some(due) {
+            break;
+        }
+        assert!(begun.elapsed() < LONG, "{}", ties(&shape["shape"]));
+        fleet.play_for(Duration::from_millis(300));
+    }
+    stop.store(true, Ordering::Relaxed);
+    refusing.into_iter().for_each(|thread| drop(thread.join()));
+    let told = fleet.timeline().all().into_iter().filter(|e| e.says == "version withdrawn").count();
+    assert_eq!(told, 1, "once");
+    whole(&mut fleet);
+}
--- /dev/null
+++ b/crates/copies/src/record.rs
@@ -0,0 +1,129 @@
+//! The index's records, small and of one form: a start reads all of them, and nothing else.
+use crate::shelf::{Key, Meta, Place};
+
+/// The form of a snapshot; a later one is refused by its first byte.
+pub const FORM: u8 = 1;
+
+/// What a hub remembers beside its copies.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Marks {
+    /// All purges up to that number were applied to what the index names.
+    pub purges: u64,
+    /// The latest that the wall clock was seen at, Unix milliseconds: one that is behind it has gone back.
+    pub seen_ms: u64,
+    /// What a fill and a fetch usually take, seconds; 0: not known.
+    pub lasted: f64,
+    pub fetched: f64,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Record {
+    Put(Meta, Place),
+    Gone(Key),
+    Marks(Marks),
+}
+
+impl Record {
+    pub fn write(&self, to: &mut Vec<u8>) {
+        match self {
+            Record::Put(meta, place) => {
+                to.push(b'p');
+                key(meta.key, to);
+                to.extend(meta.dated_us.to_le_bytes());
+                to.push(u8::from(meta.group.is_some()));
+                to.extend(meta.group.unwrap_or(0).to_le_bytes());
+                to.push(meta.rank);
+                to.extend(place.file.to_le_bytes());
+                to.extend(place.at.to_le_bytes());
+                to.extend(place.length.to_le_bytes());
+                to.extend(place.sum.to_le_bytes());
+                to.push(meta.digest.len().min(255) as u8);
+                to.extend(&meta.digest[..meta.digest.len().min(255)]);
+            }
+            Record::Gone(gone) => {
+                to.push(b'g');
+                key(*gone, to);
+            }
+            Record::Marks(marks) => {
+                to.push(b'm');
+                to.extend(marks.purges.to_le_bytes());
+                to.extend(marks.seen_ms.to_le_bytes());
+                to.extend(marks.lasted.to_le_bytes());
+                to.extend(marks.fetched.to_le_bytes());
+            }
+        }
+    }
+
+    /// Takes one off the front; none where what stands there is no record.
+    pub fn read(from: &mut &[u8]) -> Option<Record> {
+        match byte(from)? {
+            b'p' => {
+                let key = read_key(from)?;
+                let dated_us = u64::from_le_bytes(array(from)?);
+                let has_group = byte(from)? == 1;
+                let group = u32::from_le_bytes(array(from)?);
+                let rank = byte(from)?;
+                let place = Place {
+                    file: u64::from_le_bytes(array(from)?),
+                    at: u64::from_le_bytes(array(from)?),
+                    length: u32::from_le_bytes(array(from)?),
+                    sum: u128::from_le_bytes(array(from)?),
+                };
+                let length = usize::from(byte(from)?);
+                let digest = from.split_off(..length)?.to_vec();
+                let meta = Meta { key, digest, dated_us, group: has_group.then_some(group), rank };
+                Some(Record::Put(meta, place))
+            }
+            b'g' => Some(Record::Gone(read_key(from)?)),
+            b'm' => Some(Record::Marks(Marks {
+                purges: u64::from_le_bytes(array(from)?),
+                seen_ms: u64::from_le_bytes(array(from)?),
+                lasted: f64::from_le_bytes(array(from)?),
+                fetched: f64::from_le_bytes(array(from)?),
+            })),
+            _ => None,
+        }
+    }
+}
+
+fn key((object, part): Key, to: &mut Vec<u8>) {
+    to.extend(object.to_le_bytes());
+    to.extend(part.to_le_bytes());
+}
+
+fn read_key(from: &mut &[u8]) -> Option<Key> {
+    Some((u64::from_le_bytes(array(from)?), u32::from_le_bytes(array(from)?)))
+}
+
+fn byte(from: &mut &[u8]) -> Option<u8> {
+    from.split_off_first().copied()
+}
+
+fn array<const N: usize>(from: &mut &[u8]) -> Option<[u8; N]> {
+    from.split_off(..N)?.try_into().ok()
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn records_come_back_and_what_is_cut_does_not() {
+        let meta = Meta { key: (7, 2), digest: b"ab12".to_vec(), dated_us: 99, group: Some(5), rank: 3 };
+        let place = Place { file: 4, at: 1 << 40, length: 2_000, sum: u128::MAX - 3 };
+        let marks = Marks { purges: 17, seen_ms: 12, lasted: 0.25, fetched: 0.5 };
+        let none = Meta { group: None, digest: Vec::new(), ..meta.clone() };
+        let all =
+            [Record::Put(meta, place), Record::Put(none, place), Record::Gone((1, 0)), Record::Marks(marks)];
+        let mut bytes = Vec::new();
+        all.iter().for_each(|record| record.write(&mut bytes));
+        let mut rest = bytes.as_slice();
+        let read: Vec<Record> = std::iter::from_fn(|| Record::read(&mut rest)).collect();
+        assert!(rest.is_empty() && read == all);
+        let mut one = Vec::new();
+        all[0].write(&mut one);
+        for cut in 0..one.len() {
+            assert_eq!(Record::read(&mut &one[..cut]), None, "cut at {cut}");
+        }
+    }
+}
--- a/crates/fleet/src/process.rs
+++ b/crates/fleet/src/process.rs
@@ -63,7 +63,9 @@
         let form = &self.form;
         let file = self.folder.join("file.json");
         let json = common.places.json(&Value::Object(form.file.clone()));
-        std::fs::write(&file, json.to_string()).map_err(|why| format!("{}: {why}", file.display()))?;
+        // Where its disk is stands in its file as a word of its own.
+        let json = json.to_string().replace("%disk", &self.disk.path.display().to_string());
+        std::fs::write(&file, json).map_err(|why| format!("{}: {why}", file.display()))?;
         let own = common.places.own(&form.name, None).map(|at| at.to_string()).unwrap_or_default();
         let (file, disk) = (file.display().to_string(), self.disk.path.display().to_string());
         let mut words: Vec<String> = vec!["--log".into(), "json".into()];
--- a/crates/following/src/purges.rs
+++ b/crates/following/src/purges.rs
@@ -21,16 +21,18 @@
     fn apply(&mut self, acts: Vec<Act>, has: u64, ready: bool) -> impl Future<Output = ()>;
 }
 
-/// Follows for as long as it is polled. `start` is a number that no other start of this member has.
+/// Follows for as long as it is polled. `start` is a number that no other start of this member has; `applied`: all purges
+/// up to it were applied before this start to what is kept (0: nothing is).
 pub async fn follow(
     name: &str,
     start: u64,
+    applied: u64,
     services: Vec<SocketAddr>,
     terms: Line,
     mut hands: impl Hands,
     log: Logger,
 ) {
-    let mut follower = Follower::new(name, start);
+    let mut follower = Follower::new(name, start).resumed(applied);
     let mut down = false;
     let Some(mut leader) = Leader::among(services) else { return };
     loop {
--- a/crates/hub/src/desk.rs
+++ b/crates/hub/src/desk.rs
@@ -1,7 +1,7 @@
 //! What a hub decides: whom it answers with what, where it fills from, when it leaves a wait, and what it keeps. Events
 //! come in with their moment, orders go out in a list. No socket, no clock, no chance: the same events give the same
 //! orders.
-use crate::store::{Copy, HIGHEST_RANK, Named, Store};
+use crate::store::{self, Copy, HIGHEST_RANK, Named, Store};
 use bytes::Bytes;
 use harestage::ring::Ring;
 use harestage::state::Remark;
@@ -11,7 +11,11 @@
 use harestage_audit::lines::{Bring, Role};
 use harestage_audit::record::ContentNo;
 use harestage_audit::stamp::{Goes, Stamp};
+use harestage_copies::record::Marks;
+use harestage_copies::shelf::Meta;
 use harestage_purge::scope::Checked;
+use harestage_restart::pace::{Bears, Pace as Climb};
+use harestage_restart::stage::{Fact, Stage as StartStage, Start};
 use harestage_shape::control::{LoopSeen, Report};
 use harestage_shape::form::ShapeForm;
 use harestage_shape::knots::{self, Act, Key, Knot, Knots};
@@ -54,6 +58,10 @@
 const LOOKS_EVERY: Span = Span::millis(100);
 /// Questions in a row without an answer after which a whole site is passed by, here and for now: nobody else need agree.
 const SITE_SILENT: u32 = 4;
+/// A clock that is off by less counts as right.
+const SKEWED: Span = Span::millis(2_000);
+/// What is remembered beside copies is written down so often, where nothing else changes.
+const MARKS_EVERY_MS: u64 = 1_000;
 /// Loops that wait to be reported.
 const MOST_LOOPS: usize = 256;
 
@@ -139,6 +147,11 @@
     HasPurges(u64),
     /// The keeper of the audit wants something of it.
     Wanted(Box<Wanted>),
+    /// A copy from its disk; none: it can't be had, or is not what it was.
+    Read {
+        key: Key,
+        copy: Option<Copy>,
+    },
     /// The control service speaks, whatever it has said.
     ServiceSpoke,
     /// Whoever refuses a pull says when to come again; its answer follows.
@@ -182,6 +195,21 @@
     Turned(Turn),
     /// The keeper of the audit wants it to start anew.
     StartAnew(String),
+    /// Its start has come to another stage.
+    Started(harestage_restart::stage::Turn),
+    /// A copy is wanted from its disk, is to be kept there, and some are to go from there.
+    Read {
+        key: Key,
+    },
+    Keep {
+        meta: Meta,
+        body: Bytes,
+    },
+    Unkeep {
+        keys: Vec<Key>,
+    },
+    /// What is to be remembered beside the copies.
+    Mark(Marks),
 }
 
 /// A pull as the wire's request needs it.
@@ -225,6 +253,8 @@
     Fetching {
         pull: PullNo,
     },
+    /// It is on this hub's own disk.
+    Reading,
     /// For its turn at the archive, or for a right that was given away.
     Resting,
 }
@@ -347,6 +377,17 @@
     asked_of: HashMap<(ConnNo, Hex), ContentNo>,
     has_purges: u64,
     term: u64,
+    /// What is on its disk, and how its start goes; without a disk a start is over at once.
+    kept: HashMap<Key, Meta>,
+    has_disk: bool,
+    start: Start,
+    climb: Climb,
+    climb_tokens: f64,
+    climb_filled: Moment,
+    marks: Marks,
+    /// How far the archive's time is behind this hub's, once a fetch has shown it; and until then whether the clock of this
+    /// start can be doubted.
+    skew: Option<i64>,
     /// False: the way that others are measured against, in which a new home fetches without asking the old one.
     hands_over: bool,
 }
@@ -394,6 +435,14 @@
             asked_of: HashMap::new(),
             has_purges: 0,
             term: 0,
+            kept: HashMap::new(),
+            has_disk: false,
+            start: Start::over(now),
+            climb: Climb::begin(now),
+            climb_tokens: 0.0,
+            climb_filled: now,
+            marks: Marks::default(),
+            skew: None,
             hands_over: true,
         };
         desk.set(now + BEAT, Bell::Beat);
@@ -418,6 +467,35 @@
         self.unknowing = true;
     }
 
+    /// What its disk has held through the time that it was away. Nothing of it counts before the purges that may cover it
+    /// are known; `no_purges` says that nobody tells of any.
+    pub fn has_kept(&mut self, metas: Vec<Meta>, marks: Marks, no_purges: bool, now: Moment) {
+        self.kept = metas.into_iter().map(|meta| (meta.key, meta)).collect();
+        (self.has_disk, self.marks) = (true, marks);
+        self.climb = Climb::begin(now);
+        self.climb.usually(marks.fetched);
+        self.start = Start::begin(now);
+        self.start.hear(Fact::Read { copies: !self.kept.is_empty() });
+        if no_purges {
+            self.start.hear(Fact::NoPurges);
+        }
+    }
+
+    /// Staff holds its start where it is, or lets it go on.
+    pub fn hold_start(&mut self, held: bool) {
+        self.start.hear(if held { Fact::Held } else { Fact::Released });
+    }
+
+    /// Where its start is, and why it waits.
+    pub fn start(&self) -> &Start {
+        &self.start
+    }
+
+    /// Copies on its disk.
+    pub fn kept(&self) -> usize {
+        self.kept.len()
+    }
+
     /// What it does is recorded from now on, and the keeper may have pulls refused.
     pub fn is_audited(&mut self, start: u64, build: &str, settings: u64, now: Moment) {
         let mut names: Vec<Bytes> = self.contents.keys().cloned().collect();
@@ -546,17 +624,34 @@
                 self.term = self.term.max(term);
                 self.handed(version, plans, now);
             }
-            News::HasPurges(number) => self.has_purges = number,
+            News::HasPurges(number) => {
+                self.has_purges = number;
+                // Behind all that went because of them.
+                self.remember(now);
+            }
+            News::Read { key, copy } => self.read(key, copy, now),
             News::Wanted(wanted) => self.wanted(*wanted, now),
             News::ServiceSpoke => self.service_spoke(now),
             News::ComeAgain { pull, after } => {
                 let fill = self.pulls.get(&pull).and_then(|key| self.fills.get_mut(key));
                 fill.into_iter().for_each(|fill| fill.come = Some(now + after));
             }
-            News::Purged { named, at } => self.store.purge(named, at, now),
-            News::Covered { scope, at } => self.store.purge_scope(&scope, at, now),
+            News::Purged { named, at } => {
+                self.store.purge(named, at, now);
+                self.unkeep(at, |meta| match named {
+                    Named::Object(object) => meta.key.0 == object,
+                    Named::Group(group) => meta.group.is_none_or(|own| own == group),
+                });
+            }
+            News::Covered { scope, at } => {
+                self.store.purge_scope(&scope, at, now);
+                self.unkeep(at, |meta| store::covers(&scope, meta.key, meta.group));
+            }
             News::Fenced(fenced) => self.fence(fenced, now),
-            News::KnowsPurges => self.unknowing = false,
+            News::KnowsPurges => {
+                self.unknowing = false;
+                self.start.hear(Fact::PurgesKnown);
+            }
             News::Seen { ask, leaving, unseen } => self.seen(ask, leaving, &unseen, now),
             News::Named { addressed, own } => self.knots.known_as(&addressed, &own),
         }
@@ -585,6 +680,7 @@
         let (archive, tops) = (shape.archive(), shape.tops().len());
         self.share.known(archive.capacity * archive.stops_at, tops, self.alone);
         self.versions.enter(shape, now);
+        self.start.hear(Fact::Shape);
         // What rests may have another way now.
         let mut resting: Vec<Key> = self
             .fills
@@ -666,6 +762,9 @@
             }
             return;
         }
+        if self.has_on_disk(key, oldest, now) && !self.fills.contains_key(&key) && !asked.only_held {
+            return self.fill_from_disk(conn, key, asked, oldest, now);
+        }
         if asked.only_held || asked.source.is_none() {
             let remark = if self.fills.contains_key(&key) { Remark::Joined } else { Remark::Nothing };
             return self.refuse(conn, asked.id, Word::Lacks, remark);
@@ -703,10 +802,7 @@
         if self.site.is_empty() || asked.way.as_ref().is_some_and(|way| way.hand_over) {
             return ration::Answer::Taken;
         }
-        self.drawn += 1;
-        let mut hasher = DefaultHasher::new();
-        (&self.name, self.drawn).hash(&mut hasher);
-        let chance = (hasher.finish() >> 11) as f64 / (1u64 << 53) as f64;
+        let chance = self.chance();
         let worth = keeping.map_or(1.0, |keeping| keeping.benefit);
         // The protocol of the caches has no word for a second try: who was refused and asks again makes one.
         let key = (asked.object.number(), asked.part);
@@ -742,11 +838,159 @@
     }
 
     fn good_copy(&mut self, key: Key, oldest: Option<Span>, now: Moment) -> Option<Copy> {
+        let now = self.by_archive(now);
         let copy = self.store.get(key)?;
         let good = oldest.is_none_or(|oldest| now.since(copy.dated) <= oldest);
         good.then(|| copy.clone())
     }
 
+    /// The moment by the archive's time, by which copies are dated, as far as a fetch has shown it.
+    fn by_archive(&self, now: Moment) -> Moment {
+        let skew = self.skew.filter(|skew| skew.abs() > SKEWED.as_micros() as i64).unwrap_or(0);
+        Moment::at_micros(now.micros().saturating_add_signed(-skew))
+    }
+
+    // Copies on its own disk, and its start.
+
+    /// Whether its disk has a copy that may go out. Until a fetch has shown the archive's time, age can't be told.
+    fn has_on_disk(&self, key: Key, oldest: Option<Span>, now: Moment) -> bool {
+        let Some(meta) = self.kept.get(&key).filter(|_| self.start.stage().gives_copies()) else {
+            return false;
+        };
+        let dated = Moment::at_micros(meta.dated_us);
+        let young = |oldest| self.skew.is_some() && self.by_archive(now).since(dated) <= oldest;
+        oldest.is_none_or(young) && self.store.allows(key, meta.group, dated)
+    }
+
+    /// A copy has come from the disk, or can't be had: then the fill goes its usual way.
+    fn read(&mut self, key: Key, copy: Option<Copy>, now: Moment) {
+        let reading = self.fills.get(&key).is_some_and(|fill| matches!(fill.stage, Stage::Reading));
+        if copy.is_none() {
+            self.kept.remove(&key);
+        }
+        if !reading {
+            return;
+        }
+        let good = copy.filter(|copy| self.kept.contains_key(&key) && self.store.is_good(key, copy));
+        match good {
+            Some(copy) => {
+                let tag =
+                    CopyTag { digest: copy.digest, dated_ms: copy.dated.micros() / 1_000, group: copy.group };
+                let (id, word, remark) = (Hex::of(0), Word::Good, Remark::Hit);
+                let answer = Answer { id, word, remark, first_ms: 0.0, body: copy.body };
+                self.filled(key, answer, tag, false, now);
+            }
+            None if !self.start.stage().fills() => self.turn_away(key, now),
+            None => self.advance(key, now),
+        }
+    }
+
+    /// A fill that can't go on while its start spares the archive: those who wait are told when to come again.
+    fn turn_away(&mut self, key: Key, now: Moment) {
+        let chance = self.chance();
+        let after = self.climb.come_again(chance);
+        if let Some(fill) = self.fills.get_mut(&key) {
+            (fill.come, fill.sent) = (Some(now + after), now);
+        }
+        self.fail(key, Remark::SourceLost);
+    }
+
+    /// Evenly from 0 to 1.
+    fn chance(&mut self) -> f64 {
+        self.drawn += 1;
+        let mut hasher = DefaultHasher::new();
+        (&self.name, self.drawn).hash(&mut hasher);
+        (hasher.finish() >> 11) as f64 / (1u64 << 53) as f64
+    }
+
+    /// What is purged goes from the disk, too.
+    fn unkeep(&mut self, at: Moment, covered: impl Fn(&Meta) -> bool) {
+        let gone = self.kept.values().filter(|meta| meta.dated_us <= at.micros() && covered(meta));
+        let mut keys: Vec<Key> = gone.map(|meta| meta.key).collect();
+        if keys.is_empty() {
+            return;
+        }
+        keys.sort_unstable();
+        keys.iter().for_each(|key| drop(self.kept.remove(key)));
+        self.orders.push(Order::Unkeep { keys });
+    }
+
+    fn keep(&mut self, key: Key, copy: &Copy, rank: u8) {
+        if !self.has_disk || rank == 0 || !self.start.stage().keeps() {
+            return;
+        }
+        let (digest, dated_us, group) = (copy.digest.to_vec(), copy.dated.micros(), copy.group);
+        let meta = Meta { key, digest, dated_us, group, rank };
+        if self
+            .kept
+            .get(&key)
+            .is_some_and(|kept| kept.digest == meta.digest && kept.dated_us >= meta.dated_us)
+        {
+            return;
+        }
+        self.kept.insert(key, meta.clone());
+        self.orders.push(Order::Keep { meta, body: copy.body.clone() });
+    }
+
+    /// Writes down what is to be remembered beside the copies, where that is due.
+    fn remember(&mut self, now: Moment) {
+        let marks = Marks {
+            purges: self.has_purges,
+            seen_ms: now.micros() / 1_000,
+            lasted: self.lasted.usual.unwrap_or(0.0),
+            fetched: self.fetched.usual.unwrap_or(0.0),
+        };
+        if self.has_disk
+            && (marks.purges != self.marks.purges || marks.seen_ms > self.marks.seen_ms + MARKS_EVERY_MS)
+        {
+            self.marks = marks;
+            self.orders.push(Order::Mark(marks));
+        }
+    }
+
+    /// Whether a fill may be begun for something of this worth.
+    fn may_begin(&self, worth: f64) -> bool {
+        match self.start.stage() {
+            StartStage::Worthy => {
+                let best = self.contents.values().map(|keeping| keeping.benefit).fold(0.0, f64::max);
+                self.climb.worthy(worth, best)
+            }
+            stage => stage.fills(),
+        }
+    }
+
+    /// One fetch within what the archive has proved to bear; `part` is this hub's part of its gate.
+    fn climbs(&mut self, now: Moment) -> bool {
+        if self.start.stage() == StartStage::All {
+            return true;
+        }
+        let rate = self.share.rate(now).max(1.0) * self.climb.share();
+        let passed = now.since(std::mem::replace(&mut self.climb_filled, now)).seconds();
+        self.climb_tokens = (self.climb_tokens + rate * passed).min((rate * 0.5).max(1.0));
+        let lets = self.climb_tokens >= 1.0;
+        match lets {
+            true => self.climb_tokens -= 1.0,
+            false => self.climb.holds_back(),
+        }
+        lets
+    }
+
+    fn start_beats(&mut self, now: Moment) {
+        if !self.has_disk {
+            return;
+        }
+        self.climb.beat(now);
+        self.start.hear(match self.climb.bears() {
+            Bears::All => Fact::BearsAll,
+            Bears::Some => Fact::BearsSome,
+            Bears::None => Fact::BearsNone,
+        });
+        if let Some(turn) = self.start.beat(now) {
+            self.orders.push(Order::Started(turn));
+        }
+        self.remember(now);
+    }
+
     fn refuse(&mut self, conn: ConnNo, id: Hex, word: Word, remark: Remark) {
         let (first_ms, copy, body, come_ms, why) = (0.0, None, Bytes::new(), None, None);
         let given = Given { id, word, remark, first_ms, copy, body, come_ms, why };
@@ -774,8 +1018,35 @@
         }
     }
 
+    /// Its own disk has it: a fill that goes nowhere else, and that others may join.
+    fn fill_from_disk(&mut self, conn: ConnNo, key: Key, asked: Asked, oldest: Option<Span>, now: Moment) {
+        if self.waiting.len() >= self.bounds.waiters
+            || self.fills.len() >= self.bounds.fills
+            || self.waiting.contains_key(&(conn, asked.id))
+        {
+            return self.refuse(conn, asked.id, Word::Full, Remark::NoPlace);
+        }
+        self.begin(key, &asked, now);
+        let until = now + Span::millis(asked.waits_ms);
+        let (held, ours) = (asked.held.clone(), asked.way.is_some());
+        let waiter = Waiter { conn, id: asked.id, until, oldest, held, joined: false, ours };
+        self.waiting.insert((conn, asked.id), key);
+        self.set(until, Bell::Waiter(key));
+        if let Some(fill) = self.fills.get_mut(&key) {
+            fill.waiters.push(waiter);
+        }
+        self.stage(key, Stage::Reading, Some(now + STALLED), now);
+        self.orders.push(Order::Read { key });
+    }
+
     fn fill_for(&mut self, conn: ConnNo, key: Key, asked: Asked, oldest: Option<Span>, now: Moment) {
-        if self.unknowing
+        let worth = self.contents.get(&asked.content).map_or(1.0, |keeping| keeping.benefit);
+        if !self.may_begin(worth) && !self.fills.contains_key(&key) {
+            let chance = self.chance();
+            let after = self.climb.come_again(chance);
+            return self.refuse_until(conn, asked.id, asked.way.is_some().then_some(after));
+        }
+        if self.unknowing && self.start.stage() != StartStage::Alone
             || self.waiting.len() >= self.bounds.waiters
             || self.waiting.contains_key(&(conn, asked.id))
         {
@@ -850,7 +1121,7 @@
     fn give_up(&mut self, key: Key) {
         let pull = match self.end(key).map(|fill| fill.stage) {
             Some(Stage::Asking { pull, .. } | Stage::Waiting { pull, .. } | Stage::Fetching { pull }) => pull,
-            Some(Stage::Resting) | None => return,
+            Some(Stage::Resting | Stage::Reading) | None => return,
         };
         self.cancel(pull);
     }
@@ -957,8 +1228,12 @@
                 }
             }
             Right::Own => {
-                let lets = if fill.queued { self.share.again(now) } else { self.share.lets(now) };
-                fill.queued = !lets;
+                let queued = fill.queued;
+                if !self.climbs(now) {
+                    return self.stage(key, Stage::Resting, Some(now + BEAT), now);
+                }
+                let lets = if queued { self.share.again(now) } else { self.share.lets(now) };
+                self.fills.get_mut(&key).into_iter().for_each(|fill| fill.queued = !lets);
                 if !lets {
                     let next = self.share.next(now);
                     return self.stage(key, Stage::Resting, Some(next), now);
@@ -1036,7 +1311,7 @@
             Stage::Asking { whom, .. } => (true, false, whom),
             Stage::Waiting { on, .. } => (false, false, on),
             Stage::Fetching { .. } => (false, true, ARCHIVE),
-            Stage::Resting => return,
+            Stage::Resting | Stage::Reading => return,
         };
         match (answer.word, copy) {
             (Word::Good, Some(tag)) => return self.filled(key, answer, tag, fetching, now),
@@ -1046,6 +1321,7 @@
             }
             (Word::Lacks, _) if fetching => return self.fail(key, Remark::SourceLacks),
             (Word::Full, _) if fetching => {
+                self.climb.failed(now);
                 fill.again += 1;
                 if fill.again > MOST_AGAIN {
                     return self.fail(key, Remark::OriginFailed);
@@ -1090,13 +1366,14 @@
                 return self.again(key, now);
             }
             Stage::Fetching { .. } => {
+                self.climb.failed(now);
                 fill.again += 1;
                 if fill.again > MOST_AGAIN {
                     return self.fail(key, Remark::OriginFailed);
                 }
                 return self.stage(key, Stage::Resting, Some(now + AGAIN), now);
             }
-            Stage::Resting => return,
+            Stage::Resting | Stage::Reading => return,
         }
         self.advance(key, now);
     }
@@ -1118,10 +1395,17 @@
         let lasted = now.since(fill.begun).seconds();
         self.lasted.add(now, lasted);
         if fetched {
-            self.fetched.add(now, now.since(fill.sent).seconds());
+            let took = now.since(fill.sent).seconds();
+            self.fetched.add(now, took);
+            self.climb.answered(took, now);
+            // A fetch is dated when it is given out: what this clock says beside that is how far it is off.
+            self.skew = Some(now.micros() as i64 - dated.micros() as i64);
         }
         let rank = if fill.no_copy { 0 } else { fill.rank };
-        self.store.put(key, copy.clone(), rank);
+        if !self.has_disk || self.start.stage() != StartStage::Alone {
+            self.store.put(key, copy.clone(), rank);
+            self.keep(key, &copy, rank);
+        }
         let (too_old, served): (Vec<_>, Vec<_>) = std::mem::take(&mut fill.waiters)
             .into_iter()
             .partition(|waiter| waiter.oldest.is_some_and(|oldest| now.since(dated) > oldest));
@@ -1220,6 +1504,7 @@
                 self.set(now + BEAT, Bell::Beat);
                 self.aside.retain(|_, until| *until > now);
                 self.audit.iter_mut().for_each(|audit| audit.beat(now));
+                self.start_beats(now);
                 let room = self.room(now);
                 self.ration.set_room(room);
                 for act in self.knots.beat(now) {
@@ -1256,7 +1541,7 @@
                 return self.again(key, now);
             }
             Stage::Fetching { .. } => return,
-            Stage::Resting => {}
+            Stage::Resting | Stage::Reading => {}
         }
         self.advance(key, now);
     }
--- a/crates/hub/src/net/down.rs
+++ b/crates/hub/src/net/down.rs
@@ -252,6 +252,24 @@
                 below.queue(line, node::write_state(&tag, !below.shared.leaving.get(), None, None));
                 continue;
             }
+            ToNode::Gauges(tag) if peer::read_start_tag(&tag).is_some() => {
+                if let Some(held) = peer::read_start_tag(&tag).flatten() {
+                    below.shared.desk.borrow_mut().hold_start(held);
+                }
+                let start = {
+                    let desk = below.shared.desk.borrow();
+                    let (stage, held) =
+                        (super::word(desk.start().stage()).to_string(), desk.start().is_held());
+                    peer::HubStart {
+                        name: below.shared.name.clone(),
+                        stage,
+                        copies: desk.kept() as u64,
+                        held,
+                    }
+                };
+                below.queue(line, peer::write_start(&tag, &start));
+                continue;
+            }
             ToNode::Gauges(tag) if tag.starts_with(LOOK) => {
                 let unseen = below.shared.desk.borrow().unseen();
                 below.queue(line, peer::write_seen(&tag, below.shared.leaving.get(), &unseen));
--- a/crates/hub/src/net/mod.rs
+++ b/crates/hub/src/net/mod.rs
@@ -3,6 +3,7 @@
 mod down;
 mod follow;
 mod purges;
+mod shelf;
 mod up;
 
 use crate::desk::{Desk, News, Order};
@@ -72,6 +73,18 @@
 async fn run(hub: Hub, log: Logger, stop: Receiver<()>, spawner: Spawner) {
     let Hub { start, listener } = hub;
     let clock = Clock::start();
+    let (shelf_inbox, shelf_news) = async_channel::bounded(start.limits.inbox);
+    let shelf = match &start.storage {
+        None => None,
+        Some(storage) => match shelf::open(storage, shelf_inbox, log.clone()) {
+            Ok(opened) => Some(opened),
+            // A hub without its copies is one that starts cold, as it always did.
+            Err(why) => {
+                warn!(log, "copies on disk not opened: it starts without"; "why" => why);
+                None
+            }
+        },
+    };
     let mut desk = Desk::open(&start.name, start.bounds.clone(), start.contents.clone(), clock.now());
     if start.controls.is_empty() {
         desk.stands_alone();
@@ -80,6 +93,14 @@
         desk.waits_for_purges();
     }
     desk.is_at(&start.site, clock.now());
+    let applied = shelf.as_ref().map_or(0, |opened| opened.found.marks.purges);
+    let shelf = shelf.map(|opened| {
+        let now = clock.now();
+        desk.has_kept(opened.metas, opened.found.marks, start.purges.is_empty(), now);
+        info!(log, "copies on disk"; "copies" => opened.found.copies, "lost" => opened.found.lost,
+            "purges" => opened.found.marks.purges, "took_ms" => opened.took_ms);
+        opened.shelf
+    });
     if !start.keepers.is_empty() {
         let number = clock.now().micros();
         desk.is_audited(number, &start.build, start.settings, clock.now());
@@ -103,6 +124,15 @@
     let limits = Rc::new(start.limits);
     let (inbox, news) = async_channel::bounded(limits.inbox);
     let inbox_of_audit = inbox.clone();
+    if shelf.is_some() {
+        let inbox = inbox.clone();
+        spawner.spawn(async move {
+            while let Ok(news) = shelf_news.recv().await {
+                let _ = inbox.send(news).await;
+            }
+        });
+    }
+    let closing = shelf.clone();
     let below = down::Below::new(limits.clone(), shared.clone(), inbox.clone(), log.clone());
     let above = up::Above::new(limits.clone(), inbox.clone(), log.clone(), spawner.clone());
     info!(log, "ready"; "hub" => &start.name, "listen" => ?listener.get_ref().local_addr().ok());
@@ -121,7 +151,7 @@
         // No other start of this member has this number: clocks go on between two of them.
         let number = clock.now().micros();
         spawner.spawn(async move {
-            following::purges::follow(&name, number, services, line, hands, log).await;
+            following::purges::follow(&name, number, applied, services, line, hands, log).await;
         });
     }
     if !start.keepers.is_empty() {
@@ -142,10 +172,27 @@
         or(told, anew).await;
         leave(&leaving).await;
     };
-    or(turns(shared, news, below, above, log.clone()), stopped).await;
+    or(turns(shared, news, below, above, shelf, log.clone()), stopped).await;
+    if let Some(shelf) = closing {
+        shelf.close();
+    }
     info!(log, "ended"; "hub" => &start.name);
 }
 
+/// A stage of a start, as tables have it.
+fn word(stage: harestage_restart::stage::Stage) -> &'static str {
+    use harestage_restart::stage::Stage;
+    match stage {
+        Stage::Reading => "reading",
+        Stage::AwaitsPurges => "awaits_purges",
+        Stage::Alone => "alone",
+        Stage::AwaitsShape => "awaits_shape",
+        Stage::FromCopies => "from_copies",
+        Stage::Worthy => "worthy",
+        Stage::All => "all",
+    }
+}
+
 /// Goes down in order: others hear of it, and what is under way is answered.
 async fn leave(shared: &Shared) {
     shared.leaving.set(true);
@@ -183,6 +230,7 @@
     news: Receiver<News>,
     below: Rc<down::Below>,
     mut above: up::Above,
+    shelf: Option<shelf::Shelf>,
     log: Logger,
 ) {
     let mut come = Vec::new();
@@ -215,6 +263,30 @@
                 Order::Cancel { pull } => above.cancel(pull),
                 Order::Chase { to, chase } => above.chase(&to, &chase),
                 Order::Look { ask, to } => above.look(&to, ask),
+                Order::Read { key } => {
+                    if let Some(shelf) = &shelf {
+                        shelf.read(key);
+                    }
+                }
+                Order::Keep { meta, body } => {
+                    if let Some(shelf) = &shelf {
+                        shelf.keep(meta, body);
+                    }
+                }
+                Order::Unkeep { keys } => {
+                    if let Some(shelf) = &shelf {
+                        shelf.unkeep(keys);
+                    }
+                }
+                Order::Mark(marks) => {
+                    if let Some(shelf) = &shelf {
+                        shelf.mark(marks);
+                    }
+                }
+                Order::Started(turn) => {
+                    let (from, to) = (word(turn.from), word(turn.to));
+                    info!(log, "start"; "from" => from, "to" => to, "lasted_ms" => turn.lasted_ms, "why" => turn.why);
+                }
                 Order::StartAnew(why) => {
                     warn!(log, "starts anew: the keeper asks for it"; "why" => why);
                     shared.ends.notify(usize::MAX);
--- a/crates/hub/src/start.rs
+++ b/crates/hub/src/start.rs
@@ -7,7 +7,7 @@
 use serde::{Deserialize, Serialize};
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::time::Duration;
 
 /// The file of a hub.
@@ -48,12 +48,32 @@
     /// Fills under way at once.
     #[serde(default = "usual_fills")]
     pub fills: u64,
+    /// Where copies are kept that outlive a start; absent: a start is cold.
+    #[serde(default)]
+    pub storage: Option<StorageFile>,
     pub contents: Vec<ContentFile>,
     /// The shape that it starts from, until the service tells another.
     #[serde(default)]
     pub shape: Option<ShapeForm>,
 }
 
+/// Copies on disk.
+#[derive(Clone, Debug, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct StorageFile {
+    /// A folder that no other hub has.
+    pub folder: PathBuf,
+    /// Bytes of copies, in megabytes.
+    pub megabytes: u64,
+}
+
+/// The same, checked.
+#[derive(Clone, Debug)]
+pub struct StorageStart {
+    pub folder: PathBuf,
+    pub bytes: u64,
+}
+
 /// How copies of a content type are kept.
 #[derive(Clone, Debug, Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
@@ -99,6 +119,7 @@
     /// What this program calls itself, and a hash of this file, for that record.
     pub build: String,
     pub settings: u64,
+    pub storage: Option<StorageStart>,
     pub contents: HashMap<Bytes, Keeping>,
     pub shape: Option<ShapeForm>,
     pub bounds: Bounds,
@@ -181,6 +202,11 @@
             }
         }
         let fills = within("fills", self.fills, 1 << 20)?;
+        let storage = self.storage.as_ref().map(|storage| {
+            let bytes = within("storage.megabytes", storage.megabytes, 1 << 24)? as u64;
+            Ok::<_, String>(StorageStart { folder: storage.folder.clone(), bytes: bytes << 20 })
+        });
+        let storage = storage.transpose()?;
         let bounds = Bounds { store_bytes: memory, fills, waiters: fills * 8 };
         Ok(HubStart {
             listen: address("listen", &self.listen)?,
@@ -192,6 +218,7 @@
             site: self.site.clone(),
             feed: self.feed.as_deref().map(|text| address("feed", text)).transpose()?,
             contents: contents.collect(),
+            storage,
             shape: self.shape,
             bounds,
             hands_over: true,
--- a/crates/hub/src/store.rs
+++ b/crates/hub/src/store.rs
@@ -171,7 +171,7 @@
             .kept
             .iter()
             .filter(|(key, kept)| {
-                kept.copy.dated <= at && scope.covers(&facts(**key, &kept.copy, &name(key.0)))
+                kept.copy.dated <= at && scope.covers(&facts(**key, kept.copy.group, &name(key.0)))
             })
             .map(|(key, _)| *key)
             .collect();
@@ -180,8 +180,13 @@
 
     /// No purge that is known forbids this copy.
     pub fn is_good(&self, key: Key, copy: &Copy) -> bool {
-        let bound = self.scopes.from_when(&facts(key, copy, &name(key.0)));
-        bound.is_none_or(|bound| copy.dated > bound) && self.purges.allow(key.0, copy.group, copy.dated)
+        self.allows(key, copy.group, copy.dated)
+    }
+
+    /// No purge that is known forbids a copy of that time.
+    pub fn allows(&self, key: Key, group: Option<u32>, dated: Moment) -> bool {
+        let bound = self.scopes.from_when(&facts(key, group, &name(key.0)));
+        bound.is_none_or(|bound| dated > bound) && self.purges.allow(key.0, group, dated)
     }
 
     /// Copies of this object have to be younger than this, as far as is known without their group.
@@ -200,8 +205,13 @@
 }
 
 /// Tags are not told to hubs: any purge by tags may mean a copy.
-fn facts<'a>(key: Key, copy: &Copy, name: &'a str) -> Facts<'a> {
-    Facts { object: key.0, part: key.1, group: copy.group, name: Some(name), tags: None }
+fn facts(key: Key, group: Option<u32>, name: &str) -> Facts<'_> {
+    Facts { object: key.0, part: key.1, group, name: Some(name), tags: None }
+}
+
+/// Whether a purge covers a copy of which no more is known.
+pub fn covers(scope: &Checked, key: Key, group: Option<u32>) -> bool {
+    scope.covers(&facts(key, group, &name(key.0)))
 }
 
 impl Purges {
--- a/crates/hub/tests/desks.rs
+++ b/crates/hub/tests/desks.rs
@@ -153,7 +153,15 @@
 
     fn carry_out(&mut self, name: &str, order: Order) {
         match order {
-            Order::Look { .. } | Order::Turned(_) | Order::StartAnew(_) => {}
+            // These desks have no disk, no site that is lost, and no keeper.
+            Order::Look { .. }
+            | Order::Turned(_)
+            | Order::StartAnew(_)
+            | Order::Started(_)
+            | Order::Read { .. }
+            | Order::Keep { .. }
+            | Order::Unkeep { .. }
+            | Order::Mark(_) => {}
             Order::Answer { conn, given } => match self.pulls.remove(&(name.into(), given.id)) {
                 Some((puller, pull)) => {
                     let answer = Answer {
--- a/crates/keeper/src/serve.rs
+++ b/crates/keeper/src/serve.rs
@@ -38,7 +38,7 @@
 const MOST_CONNECTIONS: usize = 8_192;
 const LOOK: Duration = Duration::from_millis(200);
 /// A version that is to be taken back is asked for so often.
-const TRIES: usize = 5;
+const TRIES: usize = 12;
 
 /// What the keeper follows.
 #[derive(Clone, Debug, Default)]
@@ -164,7 +164,7 @@
                 let (own, services) = (service.clone(), service.follows.purges.clone());
                 spawner.spawn(async move {
                     let (name, number, log) = (own.name.clone(), own.clock.now().micros(), own.log.clone());
-                    purges::follow(&name, number, services, terms(), Purges(own), log).await;
+                    purges::follow(&name, number, 0, services, terms(), Purges(own), log).await;
                 });
             }
             or(turns(&service, &spawner), stopped).await;
@@ -375,6 +375,11 @@
                 info!(service.log, "goes back"; "from" => shape);
                 return;
             }
+            // Another change has to end first; it may be the one that brought this version.
+            Ok(shape_lines::Answer::Refused(why)) if why.iter().any(|why| why.contains("under way")) => {
+                Timer::after(LOOK * 5).await;
+                continue;
+            }
             Ok(shape_lines::Answer::Refused(why)) => {
                 warn!(service.log, "not gone back"; "from" => shape, "why" => why.join("; "));
                 return;
--- a/crates/measure/src/rig.rs
+++ b/crates/measure/src/rig.rs
@@ -110,6 +110,7 @@
         feed: None,
         purges: None,
         keepers: Vec::new(),
+        storage: None,
         purge_services: Vec::new(),
         site: String::new(),
         memory_mb: 64,
--- a/crates/measure/src/three.rs
+++ b/crates/measure/src/three.rs
@@ -27,6 +27,10 @@
     pub purges: bool,
     /// Each branch has a feed of its own, which stands at the branch.
     pub own_feeds: bool,
+    /// Hubs keep copies on their disks, which forget what was not synced.
+    pub storage: bool,
+    /// So long after its start every object of the archive has changed.
+    pub changes_after_ms: Option<u64>,
     /// Members of the keeper of the audit; 0: there is none.
     pub keepers: usize,
     /// Each branch has a hub of its site as a cache, which its routers ask directly.
@@ -61,6 +65,8 @@
             surge: None,
             purges: false,
             own_feeds: false,
+            storage: false,
+            changes_after_ms: None,
             keepers: 0,
             hub_caches: false,
             marks_all: false,
@@ -188,7 +194,8 @@
     }
 
     fn archive(&self) -> ProcessForm {
-        let behaves = json!({"capacity": self.archive_capacity, "stops_at": 2.5, "answers_in_ms": 10});
+        let behaves = json!({"capacity": self.archive_capacity, "stops_at": 2.5, "answers_in_ms": 10,
+            "changes_after_ms": self.changes_after_ms});
         let file = json!({"archives": [{"listen": "!archive", "behaves": behaves}]});
         process("archive", "core", Runs::Standin, file)
     }
@@ -268,7 +275,12 @@
             let purges: Vec<String> = (1..=self.services).map(|n| format!("@purges-{n}")).collect();
             file["purge_services"] = json!(purges);
         }
-        process(name, site, Runs::Hub, file)
+        if self.storage {
+            file["storage"] = json!({"folder": "%disk", "megabytes": 64});
+        }
+        let mut form = process(name, site, Runs::Hub, file);
+        form.forgets_unsynced = self.storage;
+        form
     }
 
     fn machine(&self, site: &str, hub: &str) -> ProcessForm {
--- a/crates/purge/src/follow.rs
+++ b/crates/purge/src/follow.rs
@@ -21,6 +21,8 @@
     place: Place,
     told_all: bool,
     fenced: BTreeSet<String>,
+    /// All purges up to that number were applied before its start to what it still has; 0: it has nothing from before.
+    applied: u64,
 }
 
 /// A teller that was replaced by another, or that leaves something out: its connection is of no further use.
@@ -39,9 +41,16 @@
             place: Place::default(),
             told_all: false,
             fenced: BTreeSet::new(),
+            applied: 0,
         }
     }
 
+    /// One that has kept what it had, with all purges up to that number applied to it. It is told all that lives like any
+    /// other; only what was forgotten meanwhile may be no news to it.
+    pub fn resumed(self, applied: u64) -> Follower {
+        Follower { applied, ..self }
+    }
+
     pub fn confirm(&self) -> Confirm {
         let (member, start) = (self.name.clone(), self.start);
         Confirm { member, start, has: self.place.number, told_all: self.told_all }
@@ -73,7 +82,8 @@
                     return Err(Useless::Stale);
                 }
                 // Purges that were forgotten meanwhile may have meant anything that is as old.
-                if forgotten_ms > 0 {
+                let forgotten = items.first().map_or(upto, |item| item.number.saturating_sub(1));
+                if forgotten_ms > 0 && self.applied < forgotten {
                     let at = Moment::at_micros(forgotten_ms.saturating_mul(1_000));
                     acts.push(Act::Purge { scope: Checked::Everything, at });
                 }
--- a/crates/segments/src/files.rs
+++ b/crates/segments/src/files.rs
@@ -1,6 +1,6 @@
 //! What a log needs of a disk.
 use std::fs::{File, OpenOptions};
-use std::io::{self, Read, Write};
+use std::io::{self, Read, Seek, SeekFrom, Write};
 use std::path::{Path, PathBuf};
 use std::sync::OnceLock;
 
@@ -9,6 +9,16 @@
 pub trait Files {
     fn list(&self) -> io::Result<Vec<String>>;
     fn read(&self, name: &str) -> io::Result<Vec<u8>>;
+    /// So many bytes from there on; an error where the file ends before.
+    fn read_at(&self, name: &str, at: u64, length: usize) -> io::Result<Vec<u8>> {
+        let bytes = self.read(name)?;
+        let from = usize::try_from(at).unwrap_or(usize::MAX);
+        let end = from.saturating_add(length);
+        bytes.get(from..end).map(<[u8]>::to_vec).ok_or_else(|| io::ErrorKind::UnexpectedEof.into())
+    }
+    fn length(&self, name: &str) -> io::Result<u64> {
+        self.read(name).map(|bytes| bytes.len() as u64)
+    }
     /// Makes the file, empty, if there is none.
     fn create(&mut self, name: &str) -> io::Result<()>;
     fn append(&mut self, name: &str, bytes: &[u8]) -> io::Result<()>;
@@ -93,6 +103,15 @@
         File::open(self.path.join(name))?.read_to_end(&mut bytes)?;
         Ok(bytes)
     }
+    fn read_at(&self, name: &str, at: u64, length: usize) -> io::Result<Vec<u8>> {
+        let (mut file, mut bytes) = (File::open(self.path.join(name))?, vec![0; length]);
+        file.seek(SeekFrom::Start(at))?;
+        file.read_exact(&mut bytes)?;
+        Ok(bytes)
+    }
+    fn length(&self, name: &str) -> io::Result<u64> {
+        std::fs::metadata(self.path.join(name)).map(|of| of.len())
+    }
     fn create(&mut self, name: &str) -> io::Result<()> {
         self.fails()?;
         OpenOptions::new().append(true).create(true).open(self.path.join(name)).map(drop)
--- a/crates/shape/src/parts.rs
+++ b/crates/shape/src/parts.rs
@@ -209,7 +209,8 @@
         }
     }
 
-    fn rate(&self, at: Moment) -> f64 {
+    /// Fetches a second that it may begin at a moment, by its part or by its floor.
+    pub fn rate(&self, at: Moment) -> f64 {
         if at < self.until { self.part.rate.max(self.part.floor) } else { self.part.floor }
     }
 
--- a/crates/standins/src/archive.rs
+++ b/crates/standins/src/archive.rs
@@ -22,6 +22,8 @@
     pub stops_within_ms: u64,
     pub stops_for_ms: u64,
     pub body_bytes: usize,
+    /// So long after its start every object has changed: bodies say by their second byte which they are.
+    pub changes_after_ms: Option<u64>,
 }
 
 impl Default for ArchiveScript {
@@ -33,6 +35,7 @@
             stops_within_ms: 3_000,
             stops_for_ms: 2_000,
             body_bytes: 2_000,
+            changes_after_ms: None,
         }
     }
 }
@@ -54,6 +57,7 @@
     pub address: SocketAddr,
     script: Arc<Mutex<ArchiveScript>>,
     seen: Arc<Mutex<Seen>>,
+    opened: Instant,
 }
 
 impl Archive {
@@ -63,7 +67,8 @@
 
     pub fn on(listener: TcpListener, script: ArchiveScript) -> Archive {
         let address = listener.local_addr().expect("it is bound");
-        let archive = Archive { address, script: Arc::new(Mutex::new(script)), seen: Arc::default() };
+        let (script, seen) = (Arc::new(Mutex::new(script)), Arc::default());
+        let archive = Archive { address, script, seen, opened: Instant::now() };
         let serving = archive.clone();
         talk::serve(listener, move |asked| serving.reply(asked));
         archive
@@ -97,10 +102,15 @@
         }
         std::thread::sleep(Duration::from_millis(script.answers_in_ms).mul_f64(slow.min(50.0)));
         let object = asked.object.number();
+        let changed =
+            script.changes_after_ms.is_some_and(|ms| self.opened.elapsed() >= Duration::from_millis(ms));
+        let change = change + u64::from(changed);
         let digest = Bytes::from(format!("{object:x}v{change}p{}", asked.part));
         let dated_ms = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64;
         let copy = Some(CopyTag { digest, dated_ms, group: Some((object % 256) as u32) });
-        let body = Bytes::from(vec![(object % 251) as u8; script.body_bytes]);
+        let mut body = vec![(object % 251) as u8; script.body_bytes];
+        body.get_mut(1).into_iter().for_each(|version| *version = change as u8);
+        let body = Bytes::from(body);
         let (id, word, remark) = (asked.id, Word::Good, Remark::Nothing);
         Some(Given { id, word, remark, first_ms: 0.0, copy, body, come_ms: None, why: None })
     }
--- a/crates/standins/src/crowd.rs
+++ b/crates/standins/src/crowd.rs
@@ -99,6 +99,9 @@
     /// An answer of any kind that came after its time by more than the slack.
     pub overdue: u64,
     pub wrong: u64,
+    /// Answers by which change of its object they are: before the first, and after it.
+    pub first_version: u64,
+    pub second_version: u64,
 }
 
 struct Open {
@@ -307,6 +310,9 @@
         Some(ToClient::Fulfilled { body }) => {
             let good = kind.filing || body.first() == Some(&((object % 251) as u8));
             counts.wrong += u64::from(!good);
+            let version = body.get(1).copied().filter(|_| !kind.filing);
+            counts.first_version += u64::from(version == Some(0));
+            counts.second_version += u64::from(version == Some(1));
             let in_time = took <= Duration::from_millis(kind.target_ms);
             counts.in_time += u64::from(in_time);
             counts.late += u64::from(!in_time);
@@ -344,7 +350,8 @@
             "crowd",
             json!({"content": kind.name, "asked": new.asked, "tries": new.tries, "in_time": new.in_time, "late": new.late,
                 "throttled": new.throttled, "abandoned": new.abandoned, "cut_off": new.cut_off,
-                "lost": new.lost, "overdue": new.overdue, "wrong": new.wrong, "benefit_asked": new.asked as f64 * kind.benefit,
+                "lost": new.lost, "overdue": new.overdue, "wrong": new.wrong,
+                "first_version": new.first_version, "second_version": new.second_version, "benefit_asked": new.asked as f64 * kind.benefit,
                 "benefit_served": new.in_time as f64 * kind.benefit}),
         );
     }
--- a/crates/standins/src/edge.rs
+++ b/crates/standins/src/edge.rs
@@ -8,7 +8,7 @@
 use std::net::{SocketAddr, TcpListener};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 /// By download: who pulled it, and under what.
 #[derive(Default)]
@@ -91,7 +91,11 @@
             come_ms: None,
             why: None,
         };
-        if let Some((copy, body)) = held.filter(|_| asked.body.is_empty()) {
+        let now_ms = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64;
+        let young = |copy: &CopyTag| {
+            asked.oldest_ms.is_none_or(|oldest| now_ms.saturating_sub(copy.dated_ms) <= oldest)
+        };
+        if let Some((copy, body)) = held.filter(|(copy, _)| asked.body.is_empty() && young(copy)) {
             return given(Word::Good, Remark::Hit, Some(copy), body);
         }
         let source = asked.source.as_ref().map(|name| String::from_utf8_lossy(name).into_owned());
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -100,6 +100,65 @@
     fields::whole(&come)
 }
 
+/// Where a hub is in its start, as it tells whoever asks under this tag.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct HubStart {
+    pub name: String,
+    pub stage: String,
+    pub copies: u64,
+    pub held: bool,
+}
+
+const START: &[u8] = b"hub-start";
+const START_HOLD: &[u8] = b"hub-start-hold";
+const START_GO: &[u8] = b"hub-start-go";
+
+/// The tag to ask under; with a word of staff's, whether it is to be held.
+pub fn start_tag(hold: Option<bool>) -> &'static [u8] {
+    match hold {
+        None => START,
+        Some(true) => START_HOLD,
+        Some(false) => START_GO,
+    }
+}
+
+/// Whether a tag asks that, and what staff wants with it.
+pub fn read_start_tag(tag: &[u8]) -> Option<Option<bool>> {
+    match tag {
+        START => Some(None),
+        START_HOLD => Some(Some(true)),
+        START_GO => Some(Some(false)),
+        _ => None,
+    }
+}
+
+pub fn write_start(tag: &[u8], start: &HubStart) -> Packet {
+    let fields = Fields::default()
+        .with("name", &start.name)
+        .with("stage", &start.stage)
+        .with("copies", start.copies)
+        .with("held", u8::from(start.held))
+        .or("-");
+    Packet { head: resp::head(&[tag, b"READY", fields.as_bytes()], 0), body: Bytes::new() }
+}
+
+/// None: the answer is not one of a hub that has a start.
+pub fn read_start(items: &[Bytes]) -> Option<HubStart> {
+    read_start_tag(items.first()?)?;
+    let (mut name, mut stage, mut copies, mut held) = (None, None, 0, false);
+    for (field, value) in fields::read(items.get(2)?) {
+        let text = || String::from_utf8(value.to_vec()).ok().filter(|text| is_name(text));
+        match field {
+            b"name" => name = text(),
+            b"stage" => stage = text(),
+            b"copies" => copies = fields::whole(&value)?,
+            b"held" => held = value.as_ref() == b"1",
+            _ => {}
+        }
+    }
+    Some(HubStart { name: name?, stage: stage?, copies, held })
+}
+
 pub fn write_chase(chase: &Chase) -> Packet {
     let fields = Fields::default()
         .with("obj", chase.object.as_str())
