--- a/crates/profile/src/lib.rs
+++ b/crates/profile/src/lib.rs
@@ -89,6 +89,10 @@
     pub pulls_per_connection: usize,
     /// Downloads that a router may hold.
     pub most_held: usize,
+    /// Longest time that a throttled client may be told to stay away; zero: clients are told nothing.
+    pub longest_retry_after: Span,
+    /// The longest deadline of a content type.
+    pub longest_wait: Span,
 }
 
 pub fn read_settings(text: &[u8]) -> Read<(ServiceProfile, Kinds)> {
@@ -102,9 +106,14 @@
     let names = |key: &str| -> Read<Vec<String>> {
         top.need(key)?.list()?.iter().map(|at| at.word().map(str::to_string)).collect()
     };
-    let contents = top.need("Classes")?.list()?;
-    let contents = contents.iter().map(|c| c.need("Name")?.word().map(str::to_string));
+    let classes = top.need("Classes")?.list()?;
+    let contents = classes.iter().map(|c| c.need("Name")?.word().map(str::to_string));
+    // A content type that does not tell its deadline may have any.
+    let waits = classes.iter().map(|c| c.opt("HardLimit").map_or(Ok(Span::MAX), |at| at.span()));
+    let waits: Vec<Span> = waits.collect::<Read<_>>()?;
     Ok(Outside {
+        longest_wait: waits.into_iter().max().unwrap_or(Span::MAX),
+        longest_retry_after: longest_retry_after(&allowed)?,
         contents: contents.collect::<Read<_>>()?,
         zones: names("Localities")?,
         kinds: names("Shapes")?,
@@ -126,7 +135,6 @@
     let contents = top.need("Classes")?.list()?;
     let contents = contents.iter().enumerate().map(|(n, c)| read_content(n, c, &family));
     let weights = top.opt("Weights").map_or(Ok("none"), |w| w.word())?;
-    let retry_after = allowed.flag_or("RetryAfter", false)?;
     let kinds = Kinds { parent: family.kind("MidKind")?, origin: family.kind("StoreKind")? };
     let profile = ServiceProfile {
         zone: top.need("Zone")?.number()? as u16,
@@ -139,7 +147,7 @@
         may_bypass: family.flag_or("BypassAllowed", false)?,
         may_join: family.flag_or("Joins", false)?,
         most_pulls: allowed.number_or("MaxAttempts", 1.0)? as u32,
-        longest_retry_after: if retry_after { allowed.span_or("MaxRetryAfter")? } else { Span::ZERO },
+        longest_retry_after: longest_retry_after(&allowed)?,
         flow_kb_per_s: family.number_or("FlowKbPerS", 0.0)?,
         zone_link_kb_per_s: family.numbers_or("ZoneLinkKbPerS")?,
         cold_from: safety.number_or("ColdFrom", 1.0)?,
@@ -154,6 +162,10 @@
     Ok((profile, kinds))
 }
 
+fn longest_retry_after(allowed: &At) -> Read<Span> {
+    if allowed.flag_or("RetryAfter", false)? { allowed.span_or("MaxRetryAfter") } else { Ok(Span::ZERO) }
+}
+
 fn read_content(n: usize, class: &At, family: &At) -> Read<Content> {
     let by_class = |key: &str| -> Read<Option<At>> {
         Ok(family.opt(key).map(|at| at.list()).transpose()?.and_then(|l| l.into_iter().nth(n)))
--- a/crates/router/src/program/limits.rs
+++ b/crates/router/src/program/limits.rs
@@ -8,6 +8,8 @@
 const BODY: usize = 240_000;
 const WRITE_BODY: usize = 48_000;
 const OPEN_ON_A_CONNECTION: usize = 32;
+/// No longer deadline holds up a kill.
+const LONGEST_WAIT: Duration = Duration::from_secs(3);
 
 #[derive(Clone, Debug, PartialEq)]
 pub struct Limits {
@@ -16,11 +18,11 @@
     /// Connections to nodes; past it one that is idle goes, and without one a pull that needs a new one is not
     /// sent.
     pub node_connections: usize,
-    /// Downloads that are not answered yet, and the bytes that they hold; past these only clients are read that
-    /// hold no more than an equal part.
+    /// Downloads that are not answered yet, and the bytes that they hold; past the bytes only clients are taken on
+    /// that hold no more than an equal part.
     pub downloads: usize,
     pub held_bytes: usize,
-    /// What one client's downloads may hold; past it that client is not read.
+    /// What one client's downloads may hold; past it what it asks for is throttled.
     pub client_held_bytes: usize,
     /// What a download holds beside its body.
     pub download_bytes: usize,
@@ -31,8 +33,12 @@
     /// Room that an item from a client, or from a node, gets before any of it has come.
     pub client_item_room: usize,
     pub node_item_room: usize,
-    /// Answers waiting on one connection; past it that client is not read.
+    /// Bytes of answers waiting on one connection; past it what its client asks for is throttled, and past so many
+    /// answers the client is cut off.
     pub client_unsent_bytes: usize,
+    pub client_unsent_answers: usize,
+    /// When whoever is throttled because of these bounds may come again.
+    pub full_retry_after: Duration,
     /// Answers that are written with one call to the system.
     pub packets_at_once: usize,
     /// Answers waiting on all connections; past it the client with the most is ended.
@@ -46,6 +52,12 @@
     pub client_idle: Duration,
     /// Has to pass before a client that does nothing may lose its place to another.
     pub client_grace: Duration,
+    /// Connections that are closed at once to make room for others.
+    pub client_closings: usize,
+    /// After a half-close the client has so long to close its own side; what it writes in that time is thrown away,
+    /// as much of it as the bytes say.
+    pub client_linger: Duration,
+    pub client_discarded_bytes: usize,
     /// Messages without use before their client is ended.
     pub client_unusable: usize,
     /// Lines about clients in the log between two sweeps.
@@ -86,17 +98,19 @@
     pub read_buffer: usize,
     pub accept_pause: Duration,
     pub watch_every: Duration,
-    /// After a SIGTERM: serve on at least, end when as long without a download, abandon what is open, and take
-    /// so long at most to write that.
-    pub drain_least: Duration,
-    pub drain_quiet: Duration,
-    pub drain_most: Duration,
-    pub drain_write: Duration,
+    /// After a SIGTERM: when connections are closed as they come to rest, when what is still open is abandoned, and
+    /// when the program ends whatever is left.
+    pub drain_serve: Duration,
+    pub drain_abandon: Duration,
+    pub drain_end: Duration,
 }
 
 impl Limits {
     pub fn new(memory_mb: usize, sockets: usize, outside: &Outside) -> Limits {
         let memory = memory_mb << 20;
+        // A kill comes that long after the signal and 0.7 s more, so that a deadline shorter than usual brings it sooner.
+        let drain_abandon =
+            Duration::from(outside.longest_wait).min(LONGEST_WAIT) + Duration::from_millis(350);
         Limits {
             clients: (sockets / 8 * 5).max(1),
             node_connections: (sockets / 4).max(1),
@@ -110,6 +124,8 @@
             client_item_room: 2 << 10,
             node_item_room: 64 << 10,
             client_unsent_bytes: 4 * BODY,
+            client_unsent_answers: 8 * OPEN_ON_A_CONNECTION,
+            full_retry_after: outside.longest_retry_after.into(),
             packets_at_once: 32,
             unsent_bytes: (memory / 4).max(2 * BODY),
             client_stall: Duration::from_secs(6),
@@ -117,19 +133,22 @@
             client_message: Duration::from_secs(2),
             client_idle: Duration::from_secs(5),
             client_grace: Duration::from_millis(100),
+            client_closings: 8,
+            client_linger: Duration::from_millis(60),
+            client_discarded_bytes: 1 << 20,
             client_unusable: 8,
             complaints: 5,
             sweep_every: Duration::from_millis(250),
             node_items: 8,
             body_bytes: BODY,
             node_pulls: outside.pulls_per_connection,
-            connect_within: Duration::from_micros(outside.connect_within.as_micros()),
+            connect_within: outside.connect_within.into(),
             node_few: 3,
             node_own_connections: (sockets / 32).max(1),
             node_silence: Duration::from_millis(250),
             node_halt: Duration::from_millis(700),
             node_spent_ids: 256,
-            node_idle: Duration::from_micros(outside.idle_closes_after.as_micros()).mul_f64(0.8),
+            node_idle: Duration::from(outside.idle_closes_after).mul_f64(0.8),
             answer_grace: Span::millis(20),
             call_back_settles: Span::millis(10),
             gone_kept: Span::millis(90_000),
@@ -141,10 +160,9 @@
             read_buffer: 16 << 10,
             accept_pause: Duration::from_millis(20),
             watch_every: Duration::from_millis(500),
-            drain_least: Duration::from_millis(900),
-            drain_quiet: Duration::from_millis(300),
-            drain_most: Duration::from_millis(3_350),
-            drain_write: Duration::from_millis(200),
+            drain_serve: Duration::from_millis(900).min(drain_abandon),
+            drain_abandon,
+            drain_end: drain_abandon + Duration::from_millis(250),
         }
     }
 }
--- a/crates/router/src/program/mod.rs
+++ b/crates/router/src/program/mod.rs
@@ -17,7 +17,6 @@
 use slog::{Logger, info, warn};
 use std::net::TcpListener;
 use std::rc::Rc;
-use std::time::Instant;
 
 /// Serves what the configuration at `path` says until a signal ends it. An error is one line, and nothing
 /// listens then.
@@ -66,7 +65,10 @@
     let limits = Rc::new(limits);
     let clock = Clock::start();
     let (inbox, news) = async_channel::bounded(limits.inbox);
-    let clients = client::Clients::new(limits.clone(), clock, inbox.clone(), log.clone());
+    // Never full: what waits in it is bounded by the downloads that clients may have open, and by what their readers
+    // read between two turns of the routing task, which takes all of it.
+    let (from_clients, clients_news) = async_channel::unbounded();
+    let clients = client::Clients::new(limits.clone(), clock, from_clients, log.clone());
     let mut nodes = node::Links::new(limits.clone(), inbox.clone(), log.clone(), executor.clone());
     let contents = outside.contents.clone();
     let attached = attach
@@ -84,7 +86,7 @@
     routing.step(clock.now(), known.into_iter().map(News::Told), &mut outward);
     let listener = Async::<TcpListener>::bind(listen)
         .map_err(|why| format!("key listen: {listen} can't be listened on: {why}"))?;
-    let routing = task::run(routing, news, outward, clock, limits.inbox);
+    let routing = task::run(routing, clients_news, news, outward, clock, limits.inbox);
     executor.spawn(routing).detach();
     let place = feed::Place::new(feed);
     let (limits_of, place_of, last) = (limits.clone(), place.clone(), known_last);
@@ -98,7 +100,8 @@
         marks,
     };
     executor.spawn(feed::follow(feed)).detach();
-    let listening = executor.spawn(client::listen(clients.clone(), listener, executor.clone()));
+    let listener = Rc::new(listener);
+    let listening = executor.spawn(client::listen(clients.clone(), listener.clone(), executor.clone()));
     let sweeping = executor.spawn(client::sweep(clients.clone()));
     clients.set_ready(true);
     info!(log, "ready"; "listen" => %listen, "known" => known_last, "limits" => ?limits);
@@ -125,8 +128,16 @@
             until_told_to_end(&mut signals, path, &place, &log).await;
         }
     };
-    or(drain(&clients, &limits, &log), deaf_to_ends).await;
-    drop((listening, sweeping));
+    let drained = async {
+        // Until then new connections and downloads may come as before.
+        Timer::after(limits.drain_serve).await;
+        listening.cancel().await;
+        client::accept_waiting(&clients, &listener, &executor);
+        drop(listener);
+        drain(&clients, &limits, &log).await;
+    };
+    or(drained, deaf_to_ends).await;
+    drop(sweeping);
     if let (Some(witness), Some(beside), false) = (last_word, beside, anew_asked) {
         witness.ends();
         or(beside, async {
@@ -152,26 +163,17 @@
     }
 }
 
-/// Serves on while downloads may still come, then until all are answered and written. What is still open when
+/// Shutdown, once nothing new is accepted: each connection is closed when it comes to rest. What is still open when
 /// the time of a restart is over is answered all the same: a kill would leave it without any answer.
 async fn drain(clients: &client::Clients, limits: &Limits, log: &Logger) {
-    let since = Instant::now();
-    let mut abandoned = false;
-    loop {
-        Timer::after(limits.drain_quiet / 16).await;
-        let quiet = clients.is_idle() && clients.last_asked().elapsed() >= limits.drain_quiet;
-        if quiet && since.elapsed() >= limits.drain_least || abandoned && clients.is_idle() {
-            return;
-        }
-        if since.elapsed() >= limits.drain_most {
-            if clients.open() > 0 {
-                warn!(log, "abandoned at the end"; "open" => clients.open());
-            }
-            clients.abandon_all();
-            abandoned = true;
+    clients.close_all();
+    let late = async {
+        Timer::after(limits.drain_abandon - limits.drain_serve).await;
+        if clients.open() > 0 {
+            warn!(log, "abandoned at the end"; "open" => clients.open());
         }
-        if since.elapsed() >= limits.drain_most + limits.drain_write {
-            return;
-        }
-    }
+        clients.abandon_all();
+        Timer::after(limits.drain_end - limits.drain_abandon).await;
+    };
+    or(clients.all_left(), late).await;
 }
--- a/crates/router/src/routing/mod.rs
+++ b/crates/router/src/routing/mod.rs
@@ -4,6 +4,7 @@
 pub mod task;
 pub mod witness;
 
+use bytes::Bytes;
 use harestage::brain::Brain;
 use harestage::door::{Event, Order, Pull, Register, ServiceProfile};
 use harestage::state::*;
@@ -52,6 +53,8 @@
     Answered {
         pull: PullNo,
         answer: Answer,
+        /// The copy that an answer without bytes is about.
+        names: Option<Bytes>,
     },
     Lost {
         pull: PullNo,
@@ -71,6 +74,8 @@
     fn cancel(&mut self, node: NodeNo, pull: PullNo) -> bool;
     /// Takes a pull out of its queue. True: not a byte of it had been written.
     fn take_back(&mut self, node: NodeNo, pull: PullNo) -> bool;
+    /// A pull was called back, and its node has not been told yet.
+    fn still_calls_back(&self, node: NodeNo, pull: PullNo) -> bool;
     /// Nothing new goes over the connections that this node has now.
     fn renew(&mut self, node: NodeNo);
     /// Nothing is sent to this node any more.
@@ -81,6 +86,8 @@
 enum Bell {
     Core(u32),
     PullTimesOut(PullNo),
+    /// What has not left by then must not leave any more.
+    StartsTooLate(PullNo),
     CalledBack(PullNo),
     Deadline(DlNo),
     Overdue(DlNo),
@@ -224,7 +231,7 @@
                 gone.sort_unstable();
                 gone.into_iter().for_each(|dl| self.left(dl));
             }
-            News::Answered { pull, answer } => self.pull_answered(pull, answer, now, outward),
+            News::Answered { pull, answer, names } => self.pull_answered(pull, answer, names, now, outward),
             News::Lost { pull, loss } => {
                 let ending = if loss == Loss::Broken { Ending::Broken } else { Ending::NoConnection };
                 self.ended(pull, ending, Remark::Nothing, Span::ZERO, now);
@@ -310,12 +317,21 @@
         }
     }
 
-    fn pull_answered(&mut self, pull: PullNo, answer: Answer, now: Moment, outward: &mut dyn Outward) {
+    fn pull_answered(
+        &mut self,
+        pull: PullNo,
+        answer: Answer,
+        names: Option<Bytes>,
+        now: Moment,
+        outward: &mut dyn Outward,
+    ) {
         let Some(out) = self.out.get(&pull) else { return };
         let dl = out.dl;
-        let offered = self.held.get(&dl).is_some_and(|h| h.wish.held.is_some());
+        let held = self.held.get(&dl).and_then(|held| held.wish.held.as_ref());
+        let offered = held.is_some() && held == names.as_ref();
         let ending = match answer.word {
             Word::Good => Ending::Fulfilled,
+            // An answer may be spoilt, and then names no copy, or another one than the client has.
             Word::StillGood if offered => Ending::Fulfilled,
             Word::StillGood | Word::Failed => Ending::Error,
             Word::Lacks => Ending::Missed,
@@ -420,7 +436,19 @@
         match bell {
             Bell::Core(bell) => self.events.push(Event::Rang { bell }),
             Bell::PullTimesOut(pull) => self.time_out(pull, now, outward),
-            Bell::CalledBack(pull) => self.ended(pull, Ending::Cancelled, Remark::Nothing, Span::ZERO, now),
+            Bell::CalledBack(pull) => {
+                // Guards against two at work at once where the node takes nothing, not even the cancel.
+                if self.out.get(&pull).is_some_and(|out| outward.still_calls_back(out.node, pull)) {
+                    self.set(now + self.call_back_settles, Bell::CalledBack(pull));
+                } else {
+                    self.ended(pull, Ending::Cancelled, Remark::Nothing, Span::ZERO, now);
+                }
+            }
+            Bell::StartsTooLate(pull) => {
+                if self.out.get(&pull).is_some_and(|out| outward.take_back(out.node, pull)) {
+                    self.ended(pull, Ending::NotSent, Remark::Nothing, Span::ZERO, now);
+                }
+            }
             Bell::Deadline(dl) => {
                 if let Some(held) = self.held.get(&dl).filter(|h| !h.answered) {
                     held.pulls.clone().into_iter().for_each(|pull| self.time_out(pull, now, outward));
@@ -528,9 +556,13 @@
         let source = source.map(|(source, _)| source);
         self.out.insert(pull, Out { dl, number, node, source, sent: now });
         if !queued {
-            self.ended(pull, Ending::NotSent, Remark::Nothing, Span::ZERO, now);
-        } else if order.time_out > Span::ZERO {
+            return self.ended(pull, Ending::NotSent, Remark::Nothing, Span::ZERO, now);
+        }
+        if order.time_out > Span::ZERO {
             self.set(until, Bell::PullTimesOut(pull));
         }
+        if order.start_within > Span::ZERO {
+            self.set(now + order.start_within, Bell::StartsTooLate(pull));
+        }
     }
 }
--- a/crates/router/src/routing/task.rs
+++ b/crates/router/src/routing/task.rs
@@ -1,4 +1,4 @@
-//! Runs a `Routing` on the real clock: one queue in, one turn for all that has come.
+//! Runs a `Routing` on the real clock: two queues in, one turn for all that has come.
 use super::{News, Outward, Routing};
 use async_channel::Receiver;
 use async_io::Timer;
@@ -6,8 +6,11 @@
 use harestage::time::Moment;
 use harestage_sockets::clock::Clock;
 
+/// `clients` never holds up whoever brings news there, and so is emptied in each turn; `inbox` does, since what nodes
+/// answer is large.
 pub async fn run(
     mut routing: Routing,
+    clients: Receiver<News>,
     inbox: Receiver<News>,
     mut outward: impl Outward,
     clock: Clock,
@@ -22,7 +25,7 @@
             timer.set_at(clock.instant(bell));
             set_for = Some(bell);
         }
-        let first = async { inbox.recv().await.ok() };
+        let first = or(async { clients.recv().await.ok() }, async { inbox.recv().await.ok() });
         let rung = async {
             (&mut timer).await;
             None
@@ -32,11 +35,9 @@
             set_for = None;
         }
         news.extend(woken);
-        while news.len() < most_in_a_turn
-            && let Ok(more) = inbox.try_recv()
-        {
-            news.push(more);
-        }
+        // A client that leaves is heard of before anything is done for it.
+        news.extend(std::iter::from_fn(|| clients.try_recv().ok()));
+        news.extend(std::iter::from_fn(|| inbox.try_recv().ok()).take(most_in_a_turn));
         routing.step(clock.now(), news.drain(..), &mut outward);
     }
 }
--- a/crates/router/src/transport/client.rs
+++ b/crates/router/src/transport/client.rs
@@ -1,13 +1,14 @@
-//! Connections from clients. Each has a reader, which stops while too much is open or unsent, and a writer with
-//! its own queue. One sweep over all of them ends those that have stalled, and where no more connections may
-//! be held, the one that is needed least.
+//! Connections from clients. Each has a reader, which reads on whatever else goes on, so that a client that has gone
+//! or cancels is noticed at once, and a writer with its own queue. What is past a bound is throttled at once. One
+//! sweep over all of them ends those that have stalled, and where no more connections may be held, the one that is
+//! needed least. A connection is ended by a half-close wherever its client may still be writing (docs/crossings.md).
 use super::{Source, Stream, write_packets};
 use crate::program::limits::Limits;
 use crate::routing::{ClientNo, News};
 use async_channel::Sender;
 use async_io::{Async, Timer};
 use event_listener::Event;
-use futures_lite::future::or;
+use futures_lite::future::{or, yield_now};
 use harestage_sockets::clock::Clock;
 use harestage_wire::Packet;
 use harestage_wire::client::{self, FromClient, ToClient};
@@ -15,7 +16,7 @@
 use slog::{Logger, debug, info, warn};
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, VecDeque};
-use std::net::TcpListener;
+use std::net::{Shutdown, TcpListener};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -30,8 +31,27 @@
     AtRest,
 }
 
+/// How a connection that others than its own client want to be over is ended.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+enum Ending {
+    /// Nothing more is written: its client takes nothing.
+    Cut(&'static str),
+    /// Once nothing is open and all is written, also inside a message.
+    Close(&'static str),
+    /// The same, but a message that has begun to come in is waited for.
+    CloseBetweenMessages(&'static str),
+}
+
+/// Why a reader reads no more.
+enum Read {
+    /// The client has gone: nothing is owed any more.
+    Gone(String),
+    /// What is open still gets its answers, and no further message is taken.
+    Closes(String),
+}
+
 /// One client connection, as far as others than its own task need it.
-struct Line {
+struct Connection {
     queue: RefCell<VecDeque<Packet>>,
     /// Downloads that are not answered yet, by tag, and the bytes that each holds.
     open: RefCell<HashMap<u64, usize>>,
@@ -41,13 +61,15 @@
     stand: Cell<Stand>,
     /// Since when it stands so.
     since: Cell<Instant>,
-    ending: Cell<Option<&'static str>>,
+    ending: Cell<Option<Ending>>,
     wake: Event,
-    room: Event,
+    /// Nothing is open any more, or everything is written: whoever wants to close it looks again.
+    rests: Event,
+    /// An ending was set.
     ended: Event,
 }
 
-impl Line {
+impl Connection {
     fn stands(&self, stand: Stand) {
         self.stand.set(stand);
         self.since.set(Instant::now());
@@ -57,26 +79,43 @@
         self.unsent.get() == 0 && self.open.borrow().is_empty()
     }
 
-    fn end(&self, why: &'static str) {
-        self.ending.set(Some(why));
-        self.ended.notify(usize::MAX);
+    /// A cut is final; what waits for rest may still become one.
+    fn end(&self, ending: Ending) {
+        if !self.is_cut() {
+            self.ending.set(Some(ending));
+            self.ended.notify(usize::MAX);
+        }
+    }
+
+    fn is_cut(&self) -> bool {
+        matches!(self.ending.get(), Some(Ending::Cut(_)))
+    }
+
+    /// Why it is to be closed now, if it is.
+    fn may_close(&self, inside: bool) -> Option<&'static str> {
+        match self.ending.get()? {
+            _ if !self.has_nothing_open() => None,
+            Ending::Cut(why) | Ending::Close(why) => Some(why),
+            Ending::CloseBetweenMessages(why) => (!inside).then_some(why),
+        }
     }
 
     /// Why it has to go, if it has.
-    fn overdue(&self, limits: &Limits) -> Option<&'static str> {
+    fn overdue(&self, limits: &Limits) -> Option<Ending> {
         let stood = self.since.get().elapsed();
         if self.unsent.get() > 0 {
-            return (self.wrote.get().elapsed() > limits.client_stall).then_some("the client takes nothing");
+            let stalled = self.wrote.get().elapsed() > limits.client_stall;
+            return stalled.then_some(Ending::Cut("the client takes nothing"));
         }
-        // What is read no further because of open downloads is not the client's delay.
-        match self.stand.get() {
-            Stand::New => (stood > limits.client_first).then_some("no message came"),
-            Stand::Inside if self.open.borrow().is_empty() => {
-                (stood > limits.client_message).then_some("a message did not end")
-            }
-            Stand::AtRest if self.open.borrow().is_empty() => (stood > limits.client_idle).then_some("idle"),
-            _ => None,
+        if !self.open.borrow().is_empty() {
+            return None;
         }
+        let (most, why) = match self.stand.get() {
+            Stand::New => (limits.client_first, "no message came"),
+            Stand::Inside => (limits.client_message, "a message did not end"),
+            Stand::AtRest => (limits.client_idle, "idle"),
+        };
+        (stood > most).then_some(Ending::Close(why))
     }
 
     /// How well a further client may have this one's place: first those that never said anything, then the one
@@ -88,41 +127,46 @@
     }
 }
 
+const ENDS: Ending = Ending::CloseBetweenMessages("the router ends");
+
 /// All client connections.
 pub struct Clients {
     limits: Rc<Limits>,
     clock: Clock,
-    inbox: Sender<News>,
+    news: Sender<News>,
     log: Logger,
-    lines: RefCell<HashMap<ClientNo, Rc<Line>>>,
+    connections: RefCell<HashMap<ClientNo, Rc<Connection>>>,
     open: Cell<usize>,
     held: Cell<usize>,
     unsent: Cell<usize>,
     /// Lines about clients in the log since the last sweep, those that were left out among them.
     complaints: Cell<u64>,
     last: Cell<ClientNo>,
-    asked: Cell<Instant>,
     ready: Cell<bool>,
-    /// A connection has gone, or a download was answered.
-    room: Event,
+    /// All are to be closed as soon as nothing is open on them.
+    ends: Cell<bool>,
+    /// A connection has gone.
+    left: Event,
 }
 
 impl Clients {
-    pub fn new(limits: Rc<Limits>, clock: Clock, inbox: Sender<News>, log: Logger) -> Rc<Clients> {
+    /// `news` is a queue that never fills: what one client puts there between two turns of its reader's is bounded,
+    /// and a reader that waited there would not see its client go.
+    pub fn new(limits: Rc<Limits>, clock: Clock, news: Sender<News>, log: Logger) -> Rc<Clients> {
         Rc::new(Clients {
             limits,
             clock,
-            inbox,
+            news,
             log,
-            lines: RefCell::default(),
+            connections: RefCell::default(),
             open: Cell::new(0),
             held: Cell::new(0),
             unsent: Cell::new(0),
             complaints: Cell::new(0),
             last: Cell::new(0),
-            asked: Cell::new(Instant::now()),
             ready: Cell::new(false),
-            room: Event::new(),
+            ends: Cell::new(false),
+            left: Event::new(),
         })
     }
 
@@ -139,47 +183,69 @@
         self.open.get()
     }
 
-    /// When a download came last.
-    pub fn last_asked(&self) -> Instant {
-        self.asked.get()
+    /// From now on each connection is closed as soon as nothing is open on it, new ones after a first look.
+    pub fn close_all(&self) {
+        self.ends.set(true);
+        for connection in self.connections.borrow().values() {
+            connection.end(ENDS);
+        }
+    }
+
+    /// Waits until no connection is left.
+    pub async fn all_left(&self) {
+        loop {
+            let left = self.left.listen();
+            if self.connections.borrow().is_empty() {
+                return;
+            }
+            left.await;
+        }
     }
 
     /// Answers a download that is still open; a client that has gone or said never mind gets nothing.
     pub fn answer(&self, client: ClientNo, tag: u64, answer: &ToClient) {
-        let line = self.lines.borrow().get(&client).cloned();
-        let Some(line) = line.filter(|line| self.close_one(line, tag)) else { return };
-        if line.ending.get().is_none() {
-            self.queue(&line, client::write(tag, answer));
+        let connection = self.connections.borrow().get(&client).cloned();
+        let Some(connection) = connection.filter(|connection| self.close_one(connection, tag)) else {
+            return;
+        };
+        if !connection.is_cut() {
+            self.queue(&connection, client::write(tag, answer));
         }
     }
 
     /// Answers all that is still open.
     pub fn abandon_all(&self) {
-        let lines: Vec<_> = self.lines.borrow().iter().map(|(no, line)| (*no, line.clone())).collect();
-        for (no, line) in lines {
-            let tags: Vec<u64> = line.open.borrow().keys().copied().collect();
+        let connections: Vec<_> =
+            self.connections.borrow().iter().map(|(no, connection)| (*no, connection.clone())).collect();
+        for (no, connection) in connections {
+            let tags: Vec<u64> = connection.open.borrow().keys().copied().collect();
             tags.into_iter().for_each(|tag| self.answer(no, tag, &ToClient::Abandoned));
         }
     }
 
-    fn open_one(&self, line: &Line, tag: u64, bytes: usize) {
-        line.open.borrow_mut().insert(tag, bytes);
-        line.held.set(line.held.get() + bytes);
+    fn open_one(&self, connection: &Connection, tag: u64, bytes: usize) {
+        connection.open.borrow_mut().insert(tag, bytes);
+        connection.held.set(connection.held.get() + bytes);
         self.held.set(self.held.get() + bytes);
         self.open.set(self.open.get() + 1);
-        self.asked.set(Instant::now());
     }
 
-    fn close_one(&self, line: &Line, tag: u64) -> bool {
-        let Some(bytes) = line.open.borrow_mut().remove(&tag) else { return false };
-        line.held.set(line.held.get() - bytes);
+    fn close_one(&self, connection: &Connection, tag: u64) -> bool {
+        let Some(bytes) = connection.open.borrow_mut().remove(&tag) else { return false };
+        connection.held.set(connection.held.get() - bytes);
         self.held.set(self.held.get() - bytes);
         self.open.set(self.open.get() - 1);
-        self.room.notify(usize::MAX);
-        line.room.notify(usize::MAX);
+        self.look_again(connection);
         true
     }
 
+    /// Whoever wants to close a connection waits for this.
+    fn look_again(&self, connection: &Connection) {
+        if connection.has_nothing_open() {
+            connection.rests.notify(usize::MAX);
+        }
+    }
+
     /// Guards the log, and the core that writes it, against clients that misbehave by hundreds.
     fn complain(&self, client: ClientNo, what: &str, why: &str) {
         self.complaints.set(self.complaints.get() + 1);
@@ -188,38 +254,53 @@
         }
     }
 
-    fn queue(&self, line: &Line, packet: Packet) {
-        if line.unsent.get() == 0 {
-            line.wrote.set(Instant::now());
+    fn queue(&self, connection: &Connection, packet: Packet) {
+        if connection.unsent.get() == 0 {
+            connection.wrote.set(Instant::now());
         }
-        line.unsent.set(line.unsent.get() + packet.len());
+        connection.unsent.set(connection.unsent.get() + packet.len());
         self.unsent.set(self.unsent.get() + packet.len());
-        line.queue.borrow_mut().push_back(packet);
-        line.wake.notify(usize::MAX);
-        if self.unsent.get() > self.limits.unsent_bytes {
-            self.end_fullest();
+        connection.queue.borrow_mut().push_back(packet);
+        connection.wake.notify(usize::MAX);
+        if connection.queue.borrow().len() > self.limits.client_unsent_answers {
+            self.cut(connection, "it asks on and takes no answers");
+        } else if self.unsent.get() > self.limits.unsent_bytes {
+            self.cut_fullest();
         }
     }
 
+    /// Counted out at once, or the next answer would end the next client for the same bytes.
+    fn cut(&self, connection: &Connection, why: &'static str) {
+        connection.end(Ending::Cut(why));
+        connection.queue.borrow_mut().clear();
+        self.unsent.set(self.unsent.get() - connection.unsent.replace(0));
+    }
+
     /// Guards the memory limit against clients that ask and don't read: the one with most waiting goes.
-    fn end_fullest(&self) {
-        let lines = self.lines.borrow();
-        let fullest = lines
-            .iter()
-            .filter(|(_, l)| l.ending.get().is_none())
-            .max_by_key(|(no, l)| (l.unsent.get(), **no));
-        if let Some((no, line)) = fullest {
-            warn!(self.log, "client ended: too much unsent"; "client" => no, "bytes" => line.unsent.get());
-            line.end("too much unsent");
-            // Counted out at once, or the next answer would end the next client for the same bytes.
-            line.queue.borrow_mut().clear();
-            self.unsent.set(self.unsent.get() - line.unsent.replace(0));
-        }
-    }
-
-    fn enter(&self) -> (ClientNo, Rc<Line>) {
+    fn cut_fullest(&self) {
+        let connections = self.connections.borrow();
+        let fullest =
+            connections.iter().filter(|(_, l)| !l.is_cut()).max_by_key(|(no, l)| (l.unsent.get(), **no));
+        if let Some((no, connection)) = fullest {
+            warn!(self.log, "client ended: too much unsent"; "client" => no, "bytes" => connection.unsent.get());
+            self.cut(connection, "too much unsent");
+        }
+    }
+
+    /// Admission: what is held of this client and of all may not grow further. One that holds no more than its part
+    /// is taken on: a few that send much must not turn all others away.
+    fn is_full(&self, connection: &Connection) -> bool {
+        let limits = &self.limits;
+        let part = limits.held_bytes / limits.clients;
+        self.open.get() >= limits.downloads
+            || self.held.get() >= limits.held_bytes && connection.held.get() > part
+            || connection.held.get() >= limits.client_held_bytes
+            || connection.unsent.get() >= limits.client_unsent_bytes
+    }
+
+    fn enter(&self) -> (ClientNo, Rc<Connection>) {
         let now = Instant::now();
-        let line = Rc::new(Line {
+        let connection = Rc::new(Connection {
             queue: RefCell::default(),
             open: RefCell::default(),
             held: Cell::new(0),
@@ -227,36 +308,41 @@
             wrote: Cell::new(now),
             stand: Cell::new(Stand::New),
             since: Cell::new(now),
-            ending: Cell::new(None),
+            ending: Cell::new(self.ends.get().then_some(ENDS)),
             wake: Event::new(),
-            room: Event::new(),
+            rests: Event::new(),
             ended: Event::new(),
         });
         self.last.set(self.last.get() + 1);
-        self.lines.borrow_mut().insert(self.last.get(), line.clone());
-        (self.last.get(), line)
+        self.connections.borrow_mut().insert(self.last.get(), connection.clone());
+        (self.last.get(), connection)
     }
 
-    async fn leave(&self, client: ClientNo) {
-        let Some(line) = self.lines.borrow_mut().remove(&client) else { return };
-        self.unsent.set(self.unsent.get() - line.unsent.get());
-        let open = line.open.borrow().len();
+    fn leave(&self, client: ClientNo) {
+        let Some(connection) = self.connections.borrow_mut().remove(&client) else { return };
+        self.unsent.set(self.unsent.get() - connection.unsent.get());
+        let open = connection.open.borrow().len();
         self.open.set(self.open.get() - open);
-        self.held.set(self.held.get() - line.held.get());
-        self.room.notify(usize::MAX);
+        self.held.set(self.held.get() - connection.held.get());
+        self.left.notify(usize::MAX);
         if open > 0 {
-            let _ = self.inbox.send(News::HungUp { client }).await;
+            self.tell(News::HungUp { client });
         }
     }
+
+    /// Fails only once the routing task has ended, and the program with it.
+    fn tell(&self, news: News) {
+        let _ = self.news.try_send(news);
+    }
 }
 
 /// Ends what is overdue, for as long as it is polled.
 pub async fn sweep(clients: Rc<Clients>) {
     loop {
         Timer::after(clients.limits.sweep_every).await;
-        for line in clients.lines.borrow().values().filter(|line| line.ending.get().is_none()) {
-            if let Some(why) = line.overdue(&clients.limits) {
-                line.end(why);
+        for connection in clients.connections.borrow().values().filter(|connection| !connection.is_cut()) {
+            if let Some(ending) = connection.overdue(&clients.limits) {
+                connection.end(ending);
             }
         }
         let left_out = clients.complaints.take().saturating_sub(clients.limits.complaints);
@@ -266,26 +352,30 @@
     }
 }
 
-/// Ends the client that is needed least; false if all are at work or have just come.
-fn make_room(clients: &Clients) -> bool {
-    let lines = clients.lines.borrow();
-    let spare = lines.iter().filter_map(|(no, line)| Some((line.spare(&clients.limits)?, *no, line)));
-    let Some((_, _, line)) = spare.max_by_key(|(spare, no, _)| (*spare, *no)) else { return false };
-    line.end("its place was needed");
-    true
+/// Closes the connections that are needed least, a few at once: a client that does not close its own side keeps its
+/// place for as long as a half-close is waited for.
+fn make_room(clients: &Clients) {
+    let connections = clients.connections.borrow();
+    let ending = connections.values().filter(|connection| connection.ending.get().is_some()).count();
+    let spare = connections
+        .iter()
+        .filter_map(|(no, connection)| Some((connection.spare(&clients.limits)?, *no, connection)));
+    let mut spare: Vec<_> = spare.collect();
+    spare.sort_unstable_by_key(|(spare, no, _)| (*spare, *no));
+    let most = clients.limits.client_closings.saturating_sub(ending);
+    for (_, _, connection) in spare.iter().rev().take(most) {
+        connection.end(Ending::Close("its place was needed"));
+    }
 }
 
 /// Accepts for as long as it is polled, also after the machine has run out of descriptors for a while. Guards
 /// against clients that come by hundreds and keep their connections: those that do nothing go first.
-pub async fn listen(clients: Rc<Clients>, listener: Async<TcpListener>, executor: super::Executor) {
+pub async fn listen(clients: Rc<Clients>, listener: Rc<Async<TcpListener>>, executor: super::Executor) {
     let mut refused = false;
     loop {
-        while clients.lines.borrow().len() >= clients.limits.clients {
-            let room = clients.room.listen();
-            let ending = clients.lines.borrow().values().any(|line| line.ending.get().is_some());
-            if !ending {
-                make_room(&clients);
-            }
+        while clients.connections.borrow().len() >= clients.limits.clients {
+            let room = clients.left.listen();
+            make_room(&clients);
             let spared = async {
                 Timer::after(clients.limits.client_grace / 2).await;
             };
@@ -294,10 +384,7 @@
         match listener.accept().await {
             Ok((stream, _)) => {
                 refused = false;
-                // Entered here and not by its task, which may run only after many more were accepted.
-                let (no, line) = clients.enter();
-                let served = serve(clients.clone(), no, line, Rc::new(stream), executor.clone());
-                executor.spawn(served).detach();
+                take_on(&clients, stream, &executor);
             }
             Err(why) => {
                 if !refused {
@@ -310,39 +397,68 @@
     }
 }
 
-/// The writer is a task of its own: what wakes one side must not make the other try its socket for nothing.
+/// Entered here and not by its task, which may run only after many more were accepted.
+fn take_on(clients: &Rc<Clients>, stream: Stream, executor: &super::Executor) {
+    let (no, connection) = clients.enter();
+    let served = serve(clients.clone(), no, connection, Rc::new(stream), executor.clone());
+    executor.spawn(served).detach();
+}
+
+/// Takes on what the machine has accepted and nobody has seen yet: with its listener such a connection would be reset,
+/// and what had been asked on it would be lost.
+pub fn accept_waiting(clients: &Rc<Clients>, listener: &Async<TcpListener>, executor: &super::Executor) {
+    while clients.connections.borrow().len() < clients.limits.clients
+        && let Ok((stream, _)) = listener.get_ref().accept()
+        && let Ok(stream) = Async::new(stream)
+    {
+        take_on(clients, stream, executor);
+    }
+}
+
+/// The writer is a task of its own: what wakes one side must not make the other try its socket for nothing. Either
+/// may be dropped half way: by then its client has gone, or is cut off.
 async fn serve(
     clients: Rc<Clients>,
     no: ClientNo,
-    line: Rc<Line>,
+    connection: Rc<Connection>,
     stream: Rc<Stream>,
     executor: super::Executor,
 ) {
     let _ = stream.get_ref().set_nodelay(true);
-    let writer = executor.spawn(write(clients.clone(), line.clone(), stream.clone()));
-    let why = or(or(read(&clients, no, &line, &stream), writer), end_of(&line)).await;
+    let writer = executor.spawn(write(clients.clone(), connection.clone(), stream.clone()));
+    let reader = async {
+        let mut source = Source::new(&stream);
+        match read(&clients, no, &connection, &mut source).await {
+            Read::Gone(why) => why,
+            Read::Closes(why) => {
+                close(&clients, &connection, &mut source).await;
+                why
+            }
+        }
+    };
+    let why = or(or(reader, writer), cut_off(&connection)).await;
     debug!(clients.log, "client gone"; "client" => no, "why" => &why);
-    clients.leave(no).await;
+    clients.leave(no);
 }
 
-async fn read(clients: &Clients, no: ClientNo, line: &Line, stream: &Stream) -> String {
+/// Reads until the client has gone or the connection is to be closed. Nothing else stops it: whoever does not read
+/// can't know that its client has gone.
+async fn read(clients: &Clients, no: ClientNo, connection: &Connection, source: &mut Source<'_>) -> Read {
     let limits = &clients.limits;
     let (items, item_bytes) = (limits.client_items, limits.client_item_bytes);
     let bounds = Bounds { items, item_bytes, item_room: limits.client_item_room };
     let mut decoder = Decoder::new(bounds, limits.read_buffer);
-    let mut source = Source::new(stream);
     let mut unusable = 0;
     loop {
         let taken = match decoder.take() {
             Ok(Some(items)) => client::read(items),
             Ok(None) => {
-                if decoder.is_inside() && line.stand.get() == Stand::AtRest {
-                    line.stands(Stand::Inside);
+                if decoder.is_inside() && connection.stand.get() == Stand::AtRest {
+                    connection.stands(Stand::Inside);
                 }
-                match source.read_into(&mut decoder).await {
-                    Ok(0) => return "closed by the client".into(),
-                    Ok(_) => continue,
-                    Err(why) => return why.to_string(),
+                match next_bytes(connection, source, &mut decoder).await {
+                    Ok(()) => continue,
+                    Err(read) => return read,
                 }
             }
             Err(fault) => Err(fault),
@@ -351,70 +467,136 @@
             Ok(message) => message,
             Err(fault) => {
                 clients.complain(no, "client ended: unreadable", &fault.to_string());
-                return fault.to_string();
+                return Read::Closes(fault.to_string());
             }
         };
-        line.stands(Stand::AtRest);
+        connection.stands(Stand::AtRest);
         // Two answers under one tag could not be told apart, whatever they said.
         let tag = message.answered_under();
-        if tag.is_some_and(|tag| line.open.borrow().contains_key(&tag)) {
+        if tag.is_some_and(|tag| connection.open.borrow().contains_key(&tag)) {
             clients.complain(no, "client ended: a tag twice", "");
-            return "a tag twice".into();
+            return Read::Closes("a tag twice".into());
         }
-        let refused = match message {
-            FromClient::Status { tag } => {
-                let ready = if clients.ready.get() { ToClient::Ready } else { ToClient::NotReady };
-                clients.queue(line, client::write(tag, &ready));
-                None
-            }
-            FromClient::Unusable { tag, why } => Some((tag, why)),
-            FromClient::NeverMind { tag } => {
-                if clients.close_one(line, tag) {
-                    let _ = clients.inbox.send(News::NeverMind { client: no, tag }).await;
-                }
-                None
-            }
-            FromClient::Wish { tag, .. } if line.open.borrow().len() >= limits.client_open => {
-                Some((tag, "too many open"))
-            }
-            FromClient::Wish { tag, wish } => {
-                let at = clients.clock.now();
-                clients.open_one(line, tag, wish.body.len() + limits.download_bytes);
-                let _ = clients.inbox.send(News::Asked { client: no, tag, wish, at }).await;
-                None
-            }
-        };
-        if let Some((tag, why)) = refused {
+        if let Some((tag, why)) = taken_in(clients, no, connection, message) {
             unusable += 1;
             if unusable > limits.client_unusable {
-                return "too many unusable messages".into();
+                return Read::Closes("too many unusable messages".into());
             }
             clients.complain(no, "client message unusable", why);
-            clients.queue(line, client::write(tag, &ToClient::Abandoned));
+            clients.queue(connection, client::write(tag, &ToClient::Abandoned));
+        }
+    }
+}
+
+/// Carries out what a message asks for; gives its tag and the reason where it can't be.
+fn taken_in(
+    clients: &Clients,
+    no: ClientNo,
+    connection: &Connection,
+    message: FromClient,
+) -> Option<(u64, &'static str)> {
+    let limits = &clients.limits;
+    match message {
+        FromClient::Status { tag } => {
+            let ready = if clients.ready.get() { ToClient::Ready } else { ToClient::NotReady };
+            clients.queue(connection, client::write(tag, &ready));
+        }
+        FromClient::Unusable { tag, why } => return Some((tag, why)),
+        FromClient::NeverMind { tag } => {
+            if clients.close_one(connection, tag) {
+                clients.tell(News::NeverMind { client: no, tag });
+            }
+        }
+        FromClient::Wish { tag, .. } if connection.open.borrow().len() >= limits.client_open => {
+            return Some((tag, "too many open"));
+        }
+        FromClient::Wish { tag, .. } if clients.is_full(connection) => {
+            let retry_after_ms = limits.full_retry_after.as_millis() as u64;
+            clients.queue(connection, client::write(tag, &ToClient::Throttled { retry_after_ms }));
+        }
+        FromClient::Wish { tag, wish } => {
+            clients.open_one(connection, tag, wish.body.len() + limits.download_bytes);
+            clients.tell(News::Asked { client: no, tag, wish, at: clients.clock.now() });
         }
-        wait_for_room(clients, line).await;
     }
+    None
 }
 
-/// Backpressure: past a bound nothing more is read from this client.
-async fn wait_for_room(clients: &Clients, line: &Line) {
+/// Waits for more from the client, or for the moment in which the connection may be closed. Then it looks once more:
+/// what has come before the close is taken, and what comes after it is not.
+async fn next_bytes(
+    connection: &Connection,
+    source: &mut Source<'_>,
+    decoder: &mut Decoder,
+) -> Result<(), Read> {
+    let gone = |why: String| Err(Read::Gone(why));
+    if source.expects_more() {
+        // Guards others' time against a client that always has more.
+        yield_now().await;
+    }
+    loop {
+        let (rests, ended) = (connection.rests.listen(), connection.ended.listen());
+        if let Some(why) = connection.may_close(decoder.is_inside()) {
+            return match source.look(decoder) {
+                Ok(None) => Err(Read::Closes(why.into())),
+                Ok(Some(0)) => gone("closed by the client".into()),
+                Ok(Some(_)) => Ok(()),
+                Err(why) => gone(why.to_string()),
+            };
+        }
+        // What is dropped here has read nothing: bytes are taken in the same turn in which they are read.
+        let read = async { Some(source.read_into(decoder).await) };
+        let look = async {
+            or(rests, ended).await;
+            None
+        };
+        match or(read, look).await {
+            None => {}
+            Some(Ok(0)) => return gone("closed by the client".into()),
+            Some(Ok(_)) => return Ok(()),
+            Some(Err(why)) => return gone(why.to_string()),
+        }
+    }
+}
+
+/// Guards answers that are on their way against a reset: a close over unread bytes sends one. What is open gets its
+/// answer, then this side is shut, and what the client still writes is thrown away until it has closed its own.
+async fn close(clients: &Clients, connection: &Connection, source: &mut Source<'_>) {
     let limits = &clients.limits;
-    // One that holds no more than its part is read on: a few that send much must not stop all others.
-    let part = limits.held_bytes / limits.clients;
-    let full = || {
-        clients.open.get() >= limits.downloads
-            || clients.held.get() >= limits.held_bytes && line.held.get() > part
+    let answered = async {
+        loop {
+            let rests = connection.rests.listen();
+            if connection.has_nothing_open() {
+                return true;
+            }
+            rests.await;
+        }
+    };
+    let gone = async {
+        discard(source, limits.client_discarded_bytes).await;
+        false
     };
-    let behind =
-        || line.unsent.get() >= limits.client_unsent_bytes || line.held.get() >= limits.client_held_bytes;
-    while full() || behind() {
-        let (all, own) = (clients.room.listen(), line.room.listen());
-        if full() {
-            all.await;
-        } else if behind() {
-            own.await;
+    if !or(answered, gone).await {
+        return;
+    }
+    let _ = source.stream().get_ref().shutdown(Shutdown::Write);
+    let late = async {
+        Timer::after(limits.client_linger).await;
+    };
+    or(discard(source, limits.client_discarded_bytes), late).await;
+}
+
+/// Returns once the client has gone; past the bound it never does.
+async fn discard(source: &mut Source<'_>, most: usize) {
+    let mut left = most;
+    while left > 0 {
+        match source.discard().await {
+            Ok(bytes) if bytes > 0 => left = left.saturating_sub(bytes),
+            _ => return,
         }
+        yield_now().await;
     }
+    std::future::pending().await
 }
 
 fn take_packets(queue: &mut VecDeque<Packet>, most: usize) -> Vec<Packet> {
@@ -422,27 +604,27 @@
     queue.drain(..packets).collect()
 }
 
-async fn write(clients: Rc<Clients>, line: Rc<Line>, stream: Rc<Stream>) -> String {
+async fn write(clients: Rc<Clients>, connection: Rc<Connection>, stream: Rc<Stream>) -> String {
     loop {
-        let packets = take_packets(&mut line.queue.borrow_mut(), clients.limits.packets_at_once);
+        let packets = take_packets(&mut connection.queue.borrow_mut(), clients.limits.packets_at_once);
         if packets.is_empty() {
-            let wake = line.wake.listen();
-            if line.queue.borrow().is_empty() {
+            let wake = connection.wake.listen();
+            if connection.queue.borrow().is_empty() {
                 wake.await;
             }
             continue;
         }
         let progress = |bytes| {
-            if line.ending.get().is_some() {
+            if connection.is_cut() {
                 return;
             }
-            line.wrote.set(Instant::now());
-            if line.stand.get() == Stand::AtRest {
-                line.since.set(line.wrote.get());
+            connection.wrote.set(Instant::now());
+            if connection.stand.get() == Stand::AtRest {
+                connection.since.set(connection.wrote.get());
             }
-            line.unsent.set(line.unsent.get() - bytes);
+            connection.unsent.set(connection.unsent.get() - bytes);
             clients.unsent.set(clients.unsent.get() - bytes);
-            line.room.notify(usize::MAX);
+            clients.look_again(&connection);
         };
         if let Err(why) = write_packets(&stream, &packets, progress).await {
             return why.to_string();
@@ -450,11 +632,11 @@
     }
 }
 
-/// Waits until someone else ends this connection.
-async fn end_of(line: &Line) -> String {
+/// Waits until this connection is cut.
+async fn cut_off(connection: &Connection) -> String {
     loop {
-        let ended = line.ended.listen();
-        if let Some(why) = line.ending.get() {
+        let ended = connection.ended.listen();
+        if let Some(Ending::Cut(why)) = connection.ending.get() {
             return why.into();
         }
         ended.await;
--- a/crates/router/src/transport/feed.rs
+++ b/crates/router/src/transport/feed.rs
@@ -14,7 +14,7 @@
 use std::collections::VecDeque;
 use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 /// Where the feed is to be found.
 pub struct Place {
@@ -93,8 +93,9 @@
 async fn connect(feed: &Feed) -> Result<Stream, String> {
     let up =
         async { Async::<TcpStream>::connect(feed.place.address.get()).await.map_err(|why| why.to_string()) };
-    let stream = within(feed, up).await?;
-    within(feed, async {
+    let silence = feed.limits.feed_silence;
+    let stream = within(silence, up).await?;
+    within(silence, async {
         let text = feed::subscribe(feed.last);
         (&stream).write_all(&text).await.map_err(|why| why.to_string())
     })
@@ -102,9 +103,9 @@
     Ok(stream)
 }
 
-async fn within<T>(feed: &Feed, work: impl Future<Output = Result<T, String>>) -> Result<T, String> {
+async fn within<T>(time: Duration, work: impl Future<Output = Result<T, String>>) -> Result<T, String> {
     let late = async {
-        Timer::after(feed.limits.feed_silence).await;
+        Timer::after(time).await;
         Err("silent".to_string())
     };
     or(work, late).await
@@ -113,8 +114,12 @@
 async fn read(feed: &mut Feed, mut stream: &Stream) -> String {
     let mut text = Vec::new();
     let mut piece = vec![0; feed.limits.read_buffer];
+    // Whole lines that say something count, not bytes: blank lines, halves of lines, or beats with a number from
+    // before say nothing of what is told by now.
+    let mut heard = Instant::now();
     loop {
-        let got = within(feed, async { stream.read(&mut piece).await.map_err(|why| why.to_string()) }).await;
+        let left = feed.limits.feed_silence.saturating_sub(heard.elapsed());
+        let got = within(left, async { stream.read(&mut piece).await.map_err(|why| why.to_string()) }).await;
         match got {
             Ok(0) => return "closed".into(),
             Ok(bytes) => text.extend_from_slice(&piece[..bytes]),
@@ -138,7 +143,9 @@
                         let _ = feed.inbox.send(News::GoesBy(marks)).await;
                     }
                     feed.last = n;
+                    heard = Instant::now();
                 }
+                Ok(Line::Beat(n)) if n == feed.last => heard = Instant::now(),
                 Ok(Line::Event(n, _)) | Ok(Line::Beat(n)) if n <= feed.last => {}
                 Ok(Line::Event(n, _)) | Ok(Line::Beat(n)) => {
                     return format!("event {n} follows {}", feed.last);
--- a/crates/router/src/transport/mod.rs
+++ b/crates/router/src/transport/mod.rs
@@ -30,6 +30,9 @@
     fn take_back(&mut self, node: NodeNo, pull: PullNo) -> bool {
         self.nodes.take_back(node, pull)
     }
+    fn still_calls_back(&self, node: NodeNo, pull: PullNo) -> bool {
+        self.nodes.still_calls_back(node, pull)
+    }
     fn renew(&mut self, node: NodeNo) {
         self.nodes.renew(node);
     }
--- a/crates/router/src/transport/node.rs
+++ b/crates/router/src/transport/node.rs
@@ -10,10 +10,10 @@
 use event_listener::Event;
 use futures_lite::future::or;
 use harestage_wire::resp::{Bounds, Decoder};
-use harestage_wire::{Packet, fields::Hex, node};
+use harestage_wire::{Packet, fields::Hex, node, node::Word};
 use slog::{Logger, debug, info, warn};
 use std::cell::{Cell, OnceCell, RefCell};
-use std::collections::{HashMap, VecDeque};
+use std::collections::{HashMap, HashSet, VecDeque};
 use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -21,14 +21,54 @@
 /// How often a write that is under way looks whether it may go on.
 const LAPSE: Duration = Duration::from_millis(50);
 
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Message {
+    Pull(PullNo, Hex),
+    /// Calls a pull back.
+    Cancel(PullNo),
+}
+
 struct Queued {
-    /// None: this is a cancel.
-    pull: Option<(PullNo, Hex)>,
+    message: Message,
     packet: Packet,
 }
 
+impl Queued {
+    fn pull(&self) -> Option<(PullNo, Hex)> {
+        match self.message {
+            Message::Pull(pull, id) => Some((pull, id)),
+            Message::Cancel(_) => None,
+        }
+    }
+
+    fn cancel(pull: PullNo, id: Hex) -> Queued {
+        Queued { message: Message::Cancel(pull), packet: node::write_cancel(id) }
+    }
+}
+
+/// Ids that a connection has had an answer to, or whose pull was given up on it: what still comes for them must not
+/// pass for the answer to a new pull of the same download. The oldest are forgotten past a bound.
+#[derive(Default)]
+struct SpentIds {
+    by_age: VecDeque<Hex>,
+    ids: HashSet<Hex>,
+}
+
+impl SpentIds {
+    fn spend(&mut self, id: Hex, most: usize) {
+        if self.by_age.len() >= most
+            && let Some(oldest) = self.by_age.pop_front()
+        {
+            self.ids.remove(&oldest);
+        }
+        if self.ids.insert(id) {
+            self.by_age.push_back(id);
+        }
+    }
+}
+
 /// A connection to a node.
-struct Wire {
+struct Connection {
     queue: RefCell<VecDeque<Queued>>,
     /// Pulls that were written whole and wait for their answer, and when that was.
     written: RefCell<HashMap<Hex, (PullNo, Instant)>>,
@@ -36,8 +76,9 @@
     writing: Cell<Option<(PullNo, Hex)>>,
     /// Since when a packet, given up or not, has been on its way out.
     writes: Cell<Option<Instant>>,
-    /// Given up here: a late answer must not pass for that of a new pull of the same download.
-    spent: RefCell<VecDeque<Hex>>,
+    /// Called back, and the cancel is not written yet: until it is, the node may be at work on them.
+    called_back: RefCell<Vec<PullNo>>,
+    spent: RefCell<SpentIds>,
     retired: Cell<bool>,
     ended: Cell<bool>,
     /// When a whole answer last came in. Bytes alone prove nothing: a wrong length swallows what follows it.
@@ -49,9 +90,9 @@
     look: Event,
 }
 
-impl Wire {
+impl Connection {
     fn load(&self) -> usize {
-        let queued = self.queue.borrow().iter().filter(|q| q.pull.is_some()).count();
+        let queued = self.queue.borrow().iter().filter(|q| q.pull().is_some()).count();
         queued + self.written.borrow().len() + usize::from(self.writing.get().is_some())
     }
 
@@ -59,8 +100,8 @@
     fn knows(&self, id: Hex) -> bool {
         self.written.borrow().contains_key(&id)
             || self.writing.get().is_some_and(|(_, writing)| writing == id)
-            || self.queue.borrow().iter().any(|q| q.pull.is_some_and(|(_, queued)| queued == id))
-            || self.spent.borrow().contains(&id)
+            || self.queue.borrow().iter().any(|q| q.pull().is_some_and(|(_, queued)| queued == id))
+            || self.spent.borrow().ids.contains(&id)
     }
 
     fn takes(&self, id: Hex, most: usize) -> bool {
@@ -90,16 +131,13 @@
 
     fn take_back(&self, pull: PullNo) -> bool {
         let mut queue = self.queue.borrow_mut();
-        let at = queue.iter().position(|q| q.pull.is_some_and(|(no, _)| no == pull));
+        let at = queue.iter().position(|q| q.pull().is_some_and(|(no, _)| no == pull));
         at.and_then(|at| queue.remove(at)).is_some()
     }
 
-    fn spend(&self, id: Hex, most: usize) {
-        let mut spent = self.spent.borrow_mut();
-        if spent.len() >= most {
-            spent.pop_front();
-        }
-        spent.push_back(id);
+    fn call_back(&self, pull: PullNo, id: Hex, most: usize) {
+        self.spent.borrow_mut().spend(id, most);
+        self.called_back.borrow_mut().push(pull);
     }
 }
 
@@ -108,7 +146,12 @@
     limits: Rc<Limits>,
     inbox: Sender<News>,
     log: Logger,
-    wires: Cell<usize>,
+    /// Connections that are wanted, those among them that wait for a descriptor.
+    connections: Cell<usize>,
+    /// Descriptors that connections hold.
+    sockets: Cell<usize>,
+    /// One of them was given back.
+    freed: Event,
     /// The platform's router has none.
     witness: OnceCell<Rc<dyn Witness>>,
 }
@@ -119,17 +162,49 @@
     }
 }
 
+/// A descriptor's place under the bound.
+struct Place(Rc<Common>);
+
+/// A socket and its place, given back only once both sides have let go of the socket.
+struct Placed {
+    stream: Stream,
+    _place: Place,
+}
+
+impl Place {
+    /// Guards the descriptors: the idle connection that gives way to a new one may take a turn to close.
+    async fn take(common: &Rc<Common>) -> Place {
+        loop {
+            let freed = common.freed.listen();
+            if common.sockets.get() < common.limits.node_connections {
+                common.sockets.set(common.sockets.get() + 1);
+                return Place(common.clone());
+            }
+            freed.await;
+        }
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        self.0.sockets.set(self.0.sockets.get() - 1);
+        self.0.freed.notify_additional(1);
+    }
+}
+
 /// All connections to nodes.
 pub struct Links {
     common: Rc<Common>,
     executor: Executor,
-    wires: HashMap<NodeNo, Vec<Rc<Wire>>>,
+    connections: HashMap<NodeNo, Vec<Rc<Connection>>>,
 }
 
 impl Links {
     pub fn new(limits: Rc<Limits>, inbox: Sender<News>, log: Logger, executor: Executor) -> Links {
-        let common = Rc::new(Common { limits, inbox, log, wires: Cell::new(0), witness: OnceCell::new() });
-        Links { common, executor, wires: HashMap::new() }
+        let (connections, sockets, freed) = (Cell::new(0), Cell::new(0), Event::new());
+        let common =
+            Rc::new(Common { limits, inbox, log, connections, sockets, freed, witness: OnceCell::new() });
+        Links { common, executor, connections: HashMap::new() }
     }
 
     /// From now on nothing is written while this says that the router may not act.
@@ -140,34 +215,39 @@
     pub fn pull(&mut self, node: NodeNo, contact: &Contact, pull: PullNo, id: Hex, packet: Packet) -> bool {
         let Some(address) = contact.address else { return false };
         let limits = self.common.limits.clone();
-        let wires = self.wires.entry(node).or_default();
-        wires.retain(|wire| !wire.ended.get());
-        let usable = wires.iter().filter(|wire| wire.takes(id, limits.node_pulls));
-        let best = usable.min_by_key(|wire| (wire.is_doubtful(limits.node_silence), wire.load())).cloned();
-        let good = |wire: &Rc<Wire>| wire.load() < limits.node_few && !wire.is_doubtful(limits.node_silence);
-        let own = wires.iter().filter(|wire| !wire.retired.get()).count();
-        let wire = match best {
-            Some(wire) if good(&wire) => wire,
-            Some(wire) if own >= limits.node_own_connections => wire,
+        let connections = self.connections.entry(node).or_default();
+        connections.retain(|connection| !connection.ended.get());
+        let usable = connections.iter().filter(|connection| connection.takes(id, limits.node_pulls));
+        let best = usable
+            .min_by_key(|connection| (connection.is_doubtful(limits.node_silence), connection.load()))
+            .cloned();
+        let good = |connection: &Rc<Connection>| {
+            connection.load() < limits.node_few && !connection.is_doubtful(limits.node_silence)
+        };
+        let own = connections.iter().filter(|connection| !connection.retired.get()).count();
+        let connection = match best {
+            Some(connection) if good(&connection) => connection,
+            Some(connection) if own >= limits.node_own_connections => connection,
             _ if self.has_room() => self.open(node, address, contact.name.clone()),
-            Some(wire) => wire,
+            Some(connection) => connection,
             None => {
                 warn!(self.common.log, "no connection free"; "node" => &contact.name);
                 return false;
             }
         };
-        wire.queue.borrow_mut().push_back(Queued { pull: Some((pull, id)), packet });
-        wire.wake.notify(usize::MAX);
+        connection.queue.borrow_mut().push_back(Queued { message: Message::Pull(pull, id), packet });
+        connection.wake.notify(usize::MAX);
         true
     }
 
-    fn open(&mut self, node: NodeNo, address: SocketAddr, name: String) -> Rc<Wire> {
+    fn open(&mut self, node: NodeNo, address: SocketAddr, name: String) -> Rc<Connection> {
         let now = Instant::now();
-        let wire = Rc::new(Wire {
+        let connection = Rc::new(Connection {
             queue: RefCell::default(),
             written: RefCell::default(),
             writing: Cell::new(None),
             writes: Cell::new(None),
+            called_back: RefCell::default(),
             spent: RefCell::default(),
             retired: Cell::new(false),
             ended: Cell::new(false),
@@ -177,50 +257,56 @@
             wake: Event::new(),
             look: Event::new(),
         });
-        self.wires.entry(node).or_default().push(wire.clone());
-        self.common.wires.set(self.common.wires.get() + 1);
-        let run = run(self.common.clone(), self.executor.clone(), wire.clone(), address, name);
+        self.connections.entry(node).or_default().push(connection.clone());
+        self.common.connections.set(self.common.connections.get() + 1);
+        let run = run(self.common.clone(), self.executor.clone(), connection.clone(), address, name);
         self.executor.spawn(run).detach();
-        wire
+        connection
     }
 
     /// Whether one more connection may be held. At the bound the one that has been idle for longest goes.
     fn has_room(&self) -> bool {
-        if self.common.wires.get() < self.common.limits.node_connections {
+        if self.common.connections.get() < self.common.limits.node_connections {
             return true;
         }
-        let all = self.wires.values().flatten();
-        let idle = all.filter(|wire| wire.is_idle() && !wire.retired.get() && !wire.ended.get());
-        let Some(wire) = idle.min_by_key(|wire| wire.busy.get()) else { return false };
-        wire.retire();
+        let all = self.connections.values().flatten();
+        let idle = all.filter(|connection| {
+            connection.is_idle() && !connection.retired.get() && !connection.ended.get()
+        });
+        let Some(connection) = idle.min_by_key(|connection| connection.busy.get()) else { return false };
+        connection.retire();
         true
     }
 
     pub fn cancel(&mut self, node: NodeNo, pull: PullNo) -> bool {
-        for wire in self.wires.get(&node).into_iter().flatten() {
-            if wire.take_back(pull) {
+        for connection in self.connections.get(&node).into_iter().flatten() {
+            if connection.take_back(pull) {
                 return true;
             }
-            let id =
-                wire.written.borrow().iter().find(|(_, (no, _))| *no == pull).map(|(id, (_, at))| (*id, *at));
+            let id = connection
+                .written
+                .borrow()
+                .iter()
+                .find(|(_, (no, _))| *no == pull)
+                .map(|(id, (_, at))| (*id, *at));
             if let Some((id, at)) = id {
-                wire.written.borrow_mut().remove(&id);
-                wire.spend(id, self.common.limits.node_spent_ids);
+                connection.written.borrow_mut().remove(&id);
+                connection.call_back(pull, id, self.common.limits.node_spent_ids);
                 // No answer came since this was written: the machine may have vanished, or what came before has
                 // spoilt the connection. What comes next goes over a fresh one, which then comes up or proves
                 // that nothing ran.
-                if wire.brought.get() < at && at.elapsed() > self.common.limits.node_silence {
-                    wire.retire();
+                if connection.brought.get() < at && at.elapsed() > self.common.limits.node_silence {
+                    connection.retire();
                 }
-                wire.queue.borrow_mut().push_back(Queued { pull: None, packet: node::write_cancel(id) });
-                wire.wake.notify(usize::MAX);
+                connection.queue.borrow_mut().push_back(Queued::cancel(pull, id));
+                connection.wake.notify(usize::MAX);
                 return false;
             }
-            if let Some((_, id)) = wire.writing.get().filter(|(no, _)| *no == pull) {
-                wire.writing.set(None);
-                wire.spend(id, self.common.limits.node_spent_ids);
-                if wire.is_stuck(self.common.limits.node_silence) {
-                    wire.retire();
+            if let Some((_, id)) = connection.writing.get().filter(|(no, _)| *no == pull) {
+                connection.writing.set(None);
+                connection.call_back(pull, id, self.common.limits.node_spent_ids);
+                if connection.is_stuck(self.common.limits.node_silence) {
+                    connection.retire();
                 }
                 return false;
             }
@@ -229,46 +315,68 @@
     }
 
     pub fn take_back(&mut self, node: NodeNo, pull: PullNo) -> bool {
-        self.wires.get(&node).into_iter().flatten().any(|wire| wire.take_back(pull))
+        self.connections.get(&node).into_iter().flatten().any(|connection| connection.take_back(pull))
+    }
+
+    /// A pull was called back, and the node has not been told yet.
+    pub fn still_calls_back(&self, node: NodeNo, pull: PullNo) -> bool {
+        let connections = self.connections.get(&node).into_iter().flatten();
+        connections
+            .filter(|connection| !connection.ended.get())
+            .any(|connection| connection.called_back.borrow().contains(&pull))
     }
 
     /// Its connections end by themselves once their pulls are over.
     pub fn forget(&mut self, node: NodeNo) {
-        self.wires.remove(&node);
+        self.connections.remove(&node);
     }
 
     pub fn renew(&mut self, node: NodeNo) {
-        for wire in self.wires.get(&node).into_iter().flatten() {
-            wire.retire();
+        for connection in self.connections.get(&node).into_iter().flatten() {
+            connection.retire();
         }
     }
 }
 
 /// One connection from its first byte to its last; every pull on it ends in an answer, a loss or a cancel.
-async fn run(common: Rc<Common>, executor: Executor, wire: Rc<Wire>, address: SocketAddr, name: String) {
-    let connect = async { Async::<TcpStream>::connect(address).await.map_err(|why| why.to_string()) };
+async fn run(
+    common: Rc<Common>,
+    executor: Executor,
+    connection: Rc<Connection>,
+    address: SocketAddr,
+    name: String,
+) {
+    let connect = async {
+        let place = Place::take(&common).await;
+        let stream = Async::<TcpStream>::connect(address).await.map_err(|why| why.to_string())?;
+        Ok(Placed { stream, _place: place })
+    };
     let late = async {
         Timer::after(common.limits.connect_within).await;
         Err("not up in time".to_string())
     };
     match or(connect, late).await {
-        Ok(stream) => {
-            let _ = stream.get_ref().set_nodelay(true);
-            wire.brought.set(Instant::now());
-            let stream = Rc::new(stream);
+        Ok(placed) => {
+            let _ = placed.stream.get_ref().set_nodelay(true);
+            connection.brought.set(Instant::now());
+            let placed = Rc::new(placed);
             // A task of its own: what wakes one side must not make the other try its socket for nothing.
-            let writer = executor.spawn(write(common.clone(), wire.clone(), stream.clone()));
-            let why = or(or(read(&common, &wire, &stream, &name), writer), watch(&common, &wire)).await;
+            let writer = executor.spawn(write(common.clone(), connection.clone(), placed.clone()));
+            let why = or(
+                or(read(&common, &connection, &placed.stream, &name), writer),
+                watch(&common, &connection),
+            )
+            .await;
             debug!(common.log, "node connection ended"; "node" => &name, "why" => &why);
         }
         Err(why) => info!(common.log, "node not reached"; "node" => &name, "why" => &why),
     }
-    wire.ended.set(true);
-    common.wires.set(common.wires.get() - 1);
+    connection.ended.set(true);
+    common.connections.set(common.connections.get() - 1);
     let written: Vec<_> =
-        wire.written.borrow_mut().drain().map(|(_, (pull, _))| (pull, Loss::Broken)).collect();
-    let half = wire.writing.take().map(|(pull, _)| (pull, Loss::NeverLeft));
-    let queued: Vec<_> = wire.queue.borrow_mut().drain(..).filter_map(|q| q.pull).collect();
+        connection.written.borrow_mut().drain().map(|(_, (pull, _))| (pull, Loss::Broken)).collect();
+    let half = connection.writing.take().map(|(pull, _)| (pull, Loss::NeverLeft));
+    let queued: Vec<_> = connection.queue.borrow_mut().drain(..).filter_map(|q| q.pull()).collect();
     let queued = queued.into_iter().map(|(pull, _)| (pull, Loss::NeverLeft));
     let mut lost: Vec<_> = written.into_iter().chain(half).chain(queued).collect();
     lost.sort_unstable_by_key(|(pull, _)| *pull);
@@ -280,7 +388,7 @@
     }
 }
 
-async fn read(common: &Common, wire: &Wire, stream: &Stream, name: &str) -> String {
+async fn read(common: &Common, connection: &Connection, stream: &Stream, name: &str) -> String {
     let limits = &common.limits;
     let (items, item_bytes) = (limits.node_items, limits.body_bytes);
     let bounds = Bounds { items, item_bytes, item_room: limits.node_item_room };
@@ -293,17 +401,20 @@
                     warn!(common.log, "node connection ended: unreadable answer"; "node" => name);
                     return "unreadable answer".into();
                 };
-                let known = wire.written.borrow_mut().remove(&answer.id);
-                wire.brought.set(Instant::now());
-                wire.busy.set(wire.brought.get());
+                let known = connection.written.borrow_mut().remove(&answer.id);
+                connection.brought.set(Instant::now());
+                connection.busy.set(connection.brought.get());
                 if let Some((pull, _)) = known {
-                    let _ = common.inbox.send(News::Answered { pull, answer }).await;
+                    connection.spent.borrow_mut().spend(answer.id, limits.node_spent_ids);
+                    let without_bytes = (answer.word == Word::StillGood).then(|| node::read_copy(&items));
+                    let names = without_bytes.flatten().map(|copy| copy.digest);
+                    let _ = common.inbox.send(News::Answered { pull, answer, names }).await;
                 }
             }
             Ok(None) => {
-                wire.halted.set(decoder.is_inside().then(Instant::now));
+                connection.halted.set(decoder.is_inside().then(Instant::now));
                 let read = source.read_into(&mut decoder).await;
-                wire.halted.set(None);
+                connection.halted.set(None);
                 match read {
                     Ok(0) => return "closed by the node".into(),
                     Ok(_) => {}
@@ -318,40 +429,47 @@
     }
 }
 
-async fn write(common: Rc<Common>, wire: Rc<Wire>, stream: Rc<Stream>) -> String {
+async fn write(common: Rc<Common>, connection: Rc<Connection>, placed: Rc<Placed>) -> String {
     loop {
-        let next = wire.queue.borrow_mut().pop_front();
-        let Some(Queued { pull, packet }) = next else {
-            let wake = wire.wake.listen();
-            if wire.queue.borrow().is_empty() {
+        let next = connection.queue.borrow_mut().pop_front();
+        let Some(Queued { message, packet }) = next else {
+            let wake = connection.wake.listen();
+            if connection.queue.borrow().is_empty() {
                 wake.await;
             }
             continue;
         };
+        let pull = match message {
+            Message::Pull(pull, id) => Some((pull, id)),
+            Message::Cancel(_) => None,
+        };
         if pull.is_some() && !common.may_act() {
             // It has not left, and proves so by its end.
-            wire.queue.borrow_mut().push_front(Queued { pull, packet });
+            connection.queue.borrow_mut().push_front(Queued { message, packet });
             return "this router may not act".into();
         }
-        wire.writing.set(pull);
-        wire.writes.set(Some(Instant::now()));
+        connection.writing.set(pull);
+        connection.writes.set(Some(Instant::now()));
         let packets = [packet];
-        let whole = async { write_packets(&stream, &packets, |_| {}).await.map_err(|why| why.to_string()) };
+        let whole =
+            async { write_packets(&placed.stream, &packets, |_| {}).await.map_err(|why| why.to_string()) };
         let wrote = match common.witness.get() {
             None => whole.await,
             Some(witness) => or(lapse(witness.as_ref()), whole).await,
         };
-        wire.writes.set(None);
-        wire.busy.set(Instant::now());
+        connection.writes.set(None);
+        connection.busy.set(Instant::now());
         if let Err(why) = wrote {
             return why;
         }
-        if let Some((no, id)) = pull {
-            if wire.writing.take() == Some((no, id)) {
-                wire.written.borrow_mut().insert(id, (no, Instant::now()));
-            } else {
-                // Given up while it was being written: it is whole now, so it has to be called back.
-                wire.queue.borrow_mut().push_front(Queued { pull: None, packet: node::write_cancel(id) });
+        match message {
+            Message::Pull(no, id) if connection.writing.take() == Some((no, id)) => {
+                connection.written.borrow_mut().insert(id, (no, Instant::now()));
+            }
+            // Given up while it was being written: it is whole now, so it has to be called back.
+            Message::Pull(no, id) => connection.queue.borrow_mut().push_front(Queued::cancel(no, id)),
+            Message::Cancel(no) => {
+                connection.called_back.borrow_mut().retain(|called_back| *called_back != no)
             }
         }
     }
@@ -368,16 +486,22 @@
 /// Closes what nobody needs any more: a connection that was replaced once its pulls are over, and one that
 /// has been idle, before the node closes it on a pull that is just being written. Ends one on which an answer
 /// stopped half way: what else is open there gets no answer either.
-async fn watch(common: &Common, wire: &Wire) -> String {
+async fn watch(common: &Common, connection: &Connection) -> String {
     let limits = &common.limits;
     loop {
-        let look = wire.look.listen();
-        if wire.is_idle() && (wire.retired.get() || wire.busy.get().elapsed() > limits.node_idle) {
+        let look = connection.look.listen();
+        if connection.is_idle()
+            && (connection.retired.get() || connection.busy.get().elapsed() > limits.node_idle)
+        {
             return "idle".into();
         }
-        if wire.halted.get().is_some_and(|since| since.elapsed() > limits.node_halt) {
+        if connection.halted.get().is_some_and(|since| since.elapsed() > limits.node_halt) {
             return "an answer stopped half way".into();
         }
+        // The end of the connection tells the node what a cancel can't.
+        if connection.is_stuck(limits.node_silence) && !connection.called_back.borrow().is_empty() {
+            return "a cancel can't be written".into();
+        }
         let later = async {
             Timer::after(limits.watch_every).await;
         };
--- a/crates/router/tests/links.rs
+++ b/crates/router/tests/links.rs
@@ -44,6 +44,19 @@
 
 /// Plays against one node whose connections carry a few pulls each; gives the pulls that were lost.
 fn play_on(few: usize, script: impl AsyncFnOnce(&mut Links, &Contact, &TcpListener)) -> Vec<(u64, Loss)> {
+    let lost = play_within(few, usize::MAX, script).into_iter().map(|news| match news {
+        News::Lost { pull, loss } => (pull, loss),
+        other => panic!("{other:?}"),
+    });
+    lost.collect()
+}
+
+/// The same with a bound on all connections; gives all that was told.
+fn play_within(
+    few: usize,
+    connections: usize,
+    script: impl AsyncFnOnce(&mut Links, &Contact, &TcpListener),
+) -> Vec<News> {
     let outside = Outside {
         contents: vec![],
         zones: vec![],
@@ -52,6 +65,8 @@
         idle_closes_after: Span::millis(30_000),
         pulls_per_connection: 100,
         most_held: 100,
+        longest_retry_after: Span::millis(500),
+        longest_wait: Span::millis(3_000),
     };
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let (name, zone, kind) = ("s-1".into(), String::new(), String::new());
@@ -62,17 +77,15 @@
     contacts.enter(&member, &mut Register::default(), kinds, &outside, now);
     let executor = Rc::new(LocalExecutor::new());
     let (inbox, news) = async_channel::bounded(64);
-    let limits = Rc::new(Limits { node_few: few, ..Limits::new(192, 1_024, &outside) });
+    let usual = Limits::new(192, 1_024, &outside);
+    let node_connections = connections.min(usual.node_connections);
+    let limits = Rc::new(Limits { node_few: few, node_connections, ..usual });
     let mut links = Links::new(limits, inbox, Logger::root(Discard, o!()), executor.clone());
     block_on(executor.run(async {
         script(&mut links, contacts.get(0).unwrap(), &listener).await;
         Timer::after(SHORT).await;
     }));
-    let lost = std::iter::from_fn(|| news.try_recv().ok()).map(|news| match news {
-        News::Lost { pull, loss } => (pull, loss),
-        other => panic!("{other:?}"),
-    });
-    lost.collect()
+    std::iter::from_fn(|| news.try_recv().ok()).collect()
 }
 
 /// Guards what must not run twice against breaks that prove nothing, and lets go on what never came whole.
@@ -89,6 +102,10 @@
         assert!(links.take_back(0, 3) && links.cancel(0, 4), "not a byte of these has");
         assert!(!links.cancel(0, 1) && !links.cancel(0, 2), "these may run yet");
         assert!(!links.cancel(0, 1), "given up already");
+        assert!(
+            links.still_calls_back(0, 1) && links.still_calls_back(0, 2),
+            "the node has heard of neither"
+        );
         drop(node);
     });
     assert_eq!(lost, [], "what was given up is heard of no more");
@@ -192,3 +209,106 @@
     });
     assert_eq!(lost, [(1, Loss::Broken)]);
 }
+
+/// Guards against a node that takes nothing while a pull there is called back: until it is told, or its connection
+/// has ended, the next pull would be the second at work.
+#[test]
+fn a_pull_is_called_back_once_its_node_was_told() {
+    let lost = play(&[10], async |links, node| {
+        assert!(!links.cancel(0, 1));
+        assert!(links.still_calls_back(0, 1), "the cancel has only just been queued");
+        Timer::after(SHORT).await;
+        assert!(!links.still_calls_back(0, 1));
+        drop(node);
+    });
+    assert_eq!(lost, []);
+    let lost = play(&[10, HUGE], async |links, mut node| {
+        assert!(!links.cancel(0, 1));
+        Timer::after(SHORT).await;
+        assert!(links.still_calls_back(0, 1), "it waits behind what the node does not take");
+        Timer::after(Duration::from_millis(900)).await;
+        assert!(!links.still_calls_back(0, 1));
+        node.set_read_timeout(Some(Duration::from_millis(500))).unwrap();
+        let read = std::io::copy(&mut node, &mut std::io::sink()).expect("ended, not left open");
+        assert!(read < HUGE as u64, "{read}");
+    });
+    assert_eq!(lost, [(2, Loss::NeverLeft)]);
+}
+
+/// A node answers one pull twice. The second answer must not pass for that to the next pull of the same download.
+#[test]
+fn a_second_answer_is_nobodys() {
+    let answer =
+        |word: &str| format!("*4\r\n$16\r\n{}\r\n$3\r\n{word}\r\n$1\r\n-\r\n$0\r\n\r\n", id(1).as_str());
+    let mut nodes = Vec::new();
+    let told = play_within(3, usize::MAX, async |links, contact, listener| {
+        assert!(links.pull(0, contact, 1, id(1), packet(10)));
+        Timer::after(SHORT).await;
+        nodes.push(listener.accept().unwrap().0);
+        (&nodes[0]).write_all(answer("EIO").as_bytes()).unwrap();
+        Timer::after(SHORT).await;
+        assert!(links.pull(0, contact, 2, id(1), packet(10)));
+        Timer::after(SHORT).await;
+        (&nodes[0]).write_all(answer("ACK").as_bytes()).unwrap();
+        Timer::after(SHORT).await;
+        listener.set_nonblocking(true).unwrap();
+        nodes.push(listener.accept().expect("the second goes over another").0);
+    });
+    let told: Vec<u64> = told
+        .iter()
+        .map(|news| match news {
+            News::Answered { pull, .. } => *pull,
+            other => panic!("{other:?}"),
+        })
+        .collect();
+    assert_eq!(told, [1]);
+}
+
+/// Guards the descriptors: the connection that gives way is closed before the one that takes its place is opened.
+#[test]
+fn no_more_connections_are_held_than_the_bound_says() {
+    let held = || {
+        let files = std::fs::read_dir("/proc/self/fd").unwrap();
+        files.filter(|f| f.as_ref().is_ok_and(|f| std::fs::read_link(f.path()).is_ok())).count()
+    };
+    // In a program of its own: other tests open files too.
+    if std::env::var("HARESTAGE_ALONE").is_err() {
+        let alone = std::process::Command::new(std::env::current_exe().unwrap())
+            .args(["--exact", "no_more_connections_are_held_than_the_bound_says", "--test-threads=1"])
+            .env("HARESTAGE_ALONE", "1")
+            .output()
+            .unwrap();
+        assert!(alone.status.success(), "{}", String::from_utf8_lossy(&alone.stdout));
+        return;
+    }
+    let mut nodes = Vec::new();
+    let told = play_within(1, 2, async |links, contact, listener| {
+        listener.set_nonblocking(true).unwrap();
+        let answer =
+            |n: u64| format!("*4\r\n$16\r\n{}\r\n$3\r\nACK\r\n$1\r\n-\r\n$0\r\n\r\n", id(n).as_str());
+        Timer::after(SHORT).await; // what waits for sockets and timers opens files of its own
+        let before = held();
+        // Two connections to as many nodes, both at rest.
+        for node in 0..2 {
+            assert!(links.pull(node, contact, u64::from(node), id(u64::from(node)), packet(10)));
+            Timer::after(SHORT).await;
+            nodes.push(listener.accept().unwrap().0);
+            (&nodes[node as usize]).write_all(answer(node.into()).as_bytes()).unwrap();
+        }
+        Timer::after(SHORT).await;
+        assert_eq!(held(), before + 4, "both ends of each are here");
+        // Two more in one turn: both of the idle ones give way, and at no moment is a third held.
+        for node in 2..4 {
+            assert!(links.pull(node, contact, u64::from(node), id(u64::from(node)), packet(10)));
+        }
+        assert!(!links.pull(4, contact, 4, id(4), packet(10)), "none is idle");
+        for _ in 0..200 {
+            futures_lite::future::yield_now().await;
+            assert!(held() <= before + 4, "{} after {before}", held());
+        }
+        Timer::after(SHORT).await;
+        nodes.extend(std::iter::from_fn(|| listener.accept().ok()).map(|(node, _)| node));
+        assert_eq!(nodes.len(), 4);
+    });
+    assert_eq!(told.len(), 2, "{told:?}");
+}
--- a/crates/router/tests/routing.rs
+++ b/crates/router/tests/routing.rs
@@ -27,6 +27,8 @@
     pulls: Vec<(NodeNo, PullNo, String)>,
     cancels: Vec<PullNo>,
     stuck: bool,
+    /// Nodes take nothing, cancels among it.
+    deaf: bool,
     renewed: Vec<NodeNo>,
     forgotten: Vec<NodeNo>,
 }
@@ -46,6 +48,9 @@
     fn take_back(&mut self, _: NodeNo, _: PullNo) -> bool {
         self.stuck
     }
+    fn still_calls_back(&self, _: NodeNo, _: PullNo) -> bool {
+        self.deaf
+    }
     fn renew(&mut self, node: NodeNo) {
         self.renewed.push(node);
     }
@@ -64,6 +69,8 @@
         idle_closes_after: Span::millis(30_000),
         pulls_per_connection: 100,
         most_held: 1_000,
+        longest_retry_after: Span::millis(500),
+        longest_wait: Span::millis(3_000),
     }
 }
 
@@ -192,7 +199,7 @@
         while bed.paper.pulls.len() > before + number {
             let (node, pull, _) = bed.paper.pulls[before + number].clone();
             let (word, ending, remark) = endings[(round as usize + number) % endings.len()];
-            bed.hear(vec![News::Answered { pull, answer: answer(word, remark) }]);
+            bed.hear(vec![News::Answered { pull, answer: answer(word, remark), names: None }]);
             let (dl, node, closed) = (DlIx(0), NodeIx(node), ending == Ending::Fulfilled);
             let (took, first_byte) = (Span::ZERO, Span::ZERO);
             let end = PullEnd { dl, pull: number as u8, node, ending, remark, closed, took, first_byte };
@@ -224,7 +231,7 @@
     assert_eq!(bed.answered(1).len(), 1);
     assert_eq!(bed.paper.cancels, [pull]);
     // What comes after the end is passed over.
-    bed.hear(vec![News::Answered { pull, answer: answer(Word::Good, Remark::Hit) }]);
+    bed.hear(vec![News::Answered { pull, answer: answer(Word::Good, Remark::Hit), names: None }]);
     bed.wait(500);
     assert_eq!(bed.answered(1).len(), 1);
     assert_eq!(bed.routing.unanswered(), 0);
@@ -235,7 +242,7 @@
     let mut bed = Bed::open();
     let pull = bed.ask(1, "page", 300);
     bed.now = bed.now + Span::millis(300);
-    bed.hear(vec![News::Answered { pull, answer: answer(Word::Good, Remark::Hit) }]);
+    bed.hear(vec![News::Answered { pull, answer: answer(Word::Good, Remark::Hit), names: None }]);
     bed.wait(200);
     assert_eq!(bed.answered(1), [&ToClient::Fulfilled { body: Bytes::from("bytes") }]);
 }
@@ -254,7 +261,7 @@
     assert_eq!(bed.answered(1), [&ToClient::Abandoned]);
     for word in [Word::Full, Word::TooLate, Word::Failed] {
         let pull = bed.ask(2, "write", 2_000);
-        bed.hear(vec![News::Answered { pull, answer: answer(word, Remark::Nothing) }]);
+        bed.hear(vec![News::Answered { pull, answer: answer(word, Remark::Nothing), names: None }]);
         let failed = bed.answered(2).contains(&&ToClient::Abandoned);
         assert_eq!(failed, word == Word::Failed, "{word:?}");
         bed.hear(vec![News::HungUp { client: 1 }]);
@@ -340,7 +347,7 @@
         bed.wait(2_000);
         let pull = bed.ask(u64::from(day) + 1, "page", 1_000);
         assert!(!bed.paper.forgotten.contains(&bed.paper.pulls.last().unwrap().0));
-        bed.hear(vec![News::Answered { pull, answer: answer(Word::Good, Remark::Hit) }]);
+        bed.hear(vec![News::Answered { pull, answer: answer(Word::Good, Remark::Hit), names: None }]);
     }
     assert!(bed.paper.forgotten.len() >= 34, "{:?}", bed.paper.forgotten);
     let (first, last) = (bed.paper.forgotten[0], *bed.paper.forgotten.last().unwrap());
@@ -373,7 +380,7 @@
     assert_eq!((bed.answered(2), bed.answered(3)), (vec![&ToClient::Abandoned], vec![&ToClient::Abandoned]));
     assert_eq!(bed.paper.pulls.len(), 1);
     let pull = bed.paper.pulls[0].1;
-    bed.hear(vec![News::Answered { pull, answer: answer(Word::Good, Remark::Hit) }]);
+    bed.hear(vec![News::Answered { pull, answer: answer(Word::Good, Remark::Hit), names: None }]);
     assert_eq!(bed.answered(1).len(), 1);
     bed.hear(vec![asked(4, 1)]);
     assert_eq!(bed.paper.pulls.len(), 2, "free again once that is answered");
@@ -386,3 +393,64 @@
     assert_eq!(bed.answered(1), [&ToClient::Abandoned]);
     assert!(bed.paper.pulls.is_empty());
 }
+
+/// A repeat may wait for its connection until the window of the first is over, and no longer.
+#[test]
+fn a_deduped_repeat_that_waits_too_long_is_never_sent() {
+    for stuck in [true, false] {
+        let mut bed = Bed::open();
+        let first = bed.ask(1, "all", 3_000);
+        bed.wait(300);
+        bed.hear(vec![News::Lost { pull: first, loss: Loss::Broken }]);
+        assert_eq!(bed.paper.pulls.len(), 2, "within its window it goes again");
+        bed.paper.stuck = stuck;
+        bed.wait(699);
+        assert!(bed.answered(1).is_empty());
+        bed.wait(2);
+        assert_eq!(bed.paper.pulls.len(), 2, "nothing follows once the window is over");
+        assert_eq!(bed.answered(1).len(), usize::from(stuck), "what has left runs on");
+    }
+}
+
+/// Guards against two at work at once where a node does not even take the cancel.
+#[test]
+fn nothing_follows_a_pull_whose_node_was_not_told_of_its_cancel() {
+    let mut bed = Bed::open();
+    bed.ask(1, "page", 2_000);
+    bed.paper.deaf = true;
+    let members = vec![member(bed.paper.pulls[0].0, MemberState::Gone, 0)];
+    bed.hear(vec![News::Told(Told::Members { whole: false, members })]);
+    bed.wait(300);
+    assert_eq!((bed.paper.cancels.len(), bed.paper.pulls.len()), (1, 1));
+    bed.paper.deaf = false;
+    bed.wait(11);
+    assert_eq!(bed.paper.pulls.len(), 2);
+}
+
+/// A client leaves while its next pull waits for the cancel of the one before to settle.
+#[test]
+fn no_retry_follows_for_a_client_that_has_left() {
+    for leaves in [News::NeverMind { client: 1, tag: 1 }, News::HungUp { client: 1 }] {
+        let mut bed = Bed::open();
+        bed.ask(1, "page", 2_000);
+        let members = vec![member(bed.paper.pulls[0].0, MemberState::Gone, 0)];
+        bed.hear(vec![News::Told(Told::Members { whole: false, members })]);
+        bed.wait(5);
+        bed.hear(vec![leaves]);
+        bed.wait(2_000);
+        assert_eq!(bed.paper.pulls.len(), 1);
+        assert!(bed.paper.answers.is_empty());
+    }
+}
+
+/// The request and its client's leaving are read in one turn: not a byte of it may be sent.
+#[test]
+fn what_is_asked_and_given_up_in_one_turn_is_taken_back_in_it() {
+    let mut bed = Bed::open();
+    bed.paper.stuck = true;
+    let asked = News::Asked { client: 1, tag: 1, wish: wish("page", 1_000, 2_000), at: bed.now };
+    bed.hear(vec![asked, News::HungUp { client: 1 }]);
+    assert_eq!(bed.paper.cancels.len(), bed.paper.pulls.len(), "taken back in the same turn");
+    bed.wait(2_000);
+    assert!(bed.paper.answers.is_empty() && bed.routing.unanswered() == 0);
+}
--- /dev/null
+++ b/crates/router/tests/sides.rs
@@ -0,0 +1,115 @@
+//! The sides of a router by themselves, with a routing task that the test holds up.
+use async_channel::{Receiver, Sender, bounded, unbounded};
+use async_executor::LocalExecutor;
+use async_io::{Async, Timer, block_on};
+use harestage::time::Span;
+use harestage_profile::Outside;
+use harestage_router::program::limits::Limits;
+use harestage_router::routing::News;
+use harestage_router::transport::{client, feed};
+use harestage_sockets::clock::Clock;
+use slog::{Discard, Logger, o};
+use std::collections::VecDeque;
+use std::io::{Read, Write};
+use std::net::{TcpListener, TcpStream};
+use std::rc::Rc;
+use std::time::Duration;
+
+const SHORT: Duration = Duration::from_millis(150);
+
+fn limits() -> Rc<Limits> {
+    let outside = Outside {
+        contents: vec![],
+        zones: vec![],
+        kinds: vec![],
+        connect_within: Span::millis(400),
+        idle_closes_after: Span::millis(30_000),
+        pulls_per_connection: 100,
+        most_held: 10_000,
+        longest_retry_after: Span::millis(500),
+        longest_wait: Span::millis(3_000),
+    };
+    Rc::new(Limits::new(192, 1_024, &outside))
+}
+
+fn log() -> Logger {
+    Logger::root(Discard, o!())
+}
+
+/// Nobody takes the news of clients for a while. That they go is among the news all the same.
+#[test]
+fn clients_that_go_are_heard_of_while_nobody_takes_news() {
+    let executor = Rc::new(LocalExecutor::new());
+    let (sender, news): (Sender<News>, Receiver<News>) = unbounded();
+    let clients = client::Clients::new(limits(), Clock::start(), sender, log());
+    let listener = Rc::new(Async::<TcpListener>::bind(([127, 0, 0, 1], 0)).unwrap());
+    let address = listener.get_ref().local_addr().unwrap();
+    block_on(executor.run(async {
+        let _listens = executor.spawn(client::listen(clients.clone(), listener, executor.clone()));
+        let crowd: Vec<TcpStream> = (0..8).map(|_| TcpStream::connect(address).unwrap()).collect();
+        for (no, mut client) in crowd.iter().enumerate() {
+            for tag in 1..=30 {
+                let fields = format!("i={:016x},d=9000,o={tag:016x},chunk=0,tag=5", no * 100 + tag);
+                let head = format!("*5\r\n$3\r\nASK\r\n${}\r\n{tag}\r\n", tag.to_string().len());
+                let rest = format!("$4\r\nclip\r\n${}\r\n{fields}\r\n$0\r\n\r\n", fields.len());
+                client.write_all((head + &rest).as_bytes()).unwrap();
+            }
+        }
+        Timer::after(SHORT).await;
+        assert_eq!(clients.open(), 8 * 30);
+        drop(crowd);
+        Timer::after(SHORT).await;
+        assert_eq!(clients.open(), 0, "their going was not seen");
+    }));
+    let told: Vec<News> = std::iter::from_fn(|| news.try_recv().ok()).collect();
+    let gone = told.iter().filter(|news| matches!(news, News::HungUp { .. })).count();
+    assert_eq!((told.len(), gone), (8 * 30 + 8, 8));
+}
+
+/// The feed moves while an event waits for room: that event was not applied, so that the new place is asked for it.
+#[test]
+fn an_event_that_waited_as_the_feed_moved_is_told_by_the_new_one() {
+    let executor = Rc::new(LocalExecutor::new());
+    let (inbox, news) = bounded(1);
+    let (old, new) = (TcpListener::bind("127.0.0.1:0").unwrap(), TcpListener::bind("127.0.0.1:0").unwrap());
+    let place = feed::Place::new(old.local_addr().unwrap());
+    let follows = feed::Feed {
+        limits: limits(),
+        inbox: inbox.clone(),
+        log: log(),
+        place: place.clone(),
+        last: 4,
+        others: VecDeque::new(),
+        marks: false,
+    };
+    let purge = |n: u64| format!("{{\"n\":{n},\"purge\":{{\"group\":{n},\"at\":1}}}}\n");
+    let subscribed = async |listener: &TcpListener| {
+        let (mut stream, _) = listener.accept().unwrap();
+        stream.set_read_timeout(Some(Duration::from_secs(5))).unwrap();
+        Timer::after(SHORT).await;
+        let mut line = [0; 6];
+        stream.read_exact(&mut line).unwrap();
+        (stream, String::from_utf8(line.to_vec()).unwrap())
+    };
+    block_on(executor.run(async {
+        inbox.send(News::HungUp { client: 0 }).await.unwrap();
+        let _follows = executor.spawn(feed::follow(follows));
+        Timer::after(SHORT).await;
+        let (mut stream, line) = subscribed(&old).await;
+        assert_eq!(line, "SUB 4\n");
+        stream.write_all(purge(5).as_bytes()).unwrap();
+        Timer::after(SHORT).await;
+        place.move_to(new.local_addr().unwrap());
+        Timer::after(SHORT).await;
+        let (mut stream, line) = subscribed(&new).await;
+        assert_eq!(line, "SUB 4\n", "the event that waited was not applied");
+        assert!(matches!(news.recv().await, Ok(News::HungUp { .. })));
+        stream.write_all((purge(5) + &purge(6)).as_bytes()).unwrap();
+        for n in [5, 6] {
+            let told = format!("{:?}", news.recv().await.unwrap());
+            assert!(told.contains(&format!("group: {n}")), "{told}");
+        }
+        Timer::after(SHORT).await;
+        assert!(news.is_empty());
+    }));
+}
--- a/crates/sockets/src/lib.rs
+++ b/crates/sockets/src/lib.rs
@@ -11,7 +11,7 @@
 use harestage_wire::Packet;
 use harestage_wire::resp::{Decoder, LINE_END};
 use std::cell::RefCell;
-use std::io::{self, IoSlice};
+use std::io::{self, IoSlice, Read};
 use std::net::TcpStream;
 use std::rc::Rc;
 
@@ -64,11 +64,44 @@
     more: bool,
 }
 
+/// What is thrown away is read in pieces of as much.
+const DISCARDED: usize = 4 << 10;
+
 impl Source<'_> {
     pub fn new(stream: &Stream) -> Source<'_> {
         Source { stream, more: true }
     }
 
+    pub fn stream(&self) -> &Stream {
+        self.stream
+    }
+
+    /// Reads and throws away; 0: the other side has closed.
+    pub async fn discard(&mut self) -> io::Result<usize> {
+        self.stream.readable().await?;
+        self.stream.read(&mut [0; DISCARDED]).await
+    }
+
+    /// Takes what has come up to now, without waiting for more. None: nothing has.
+    pub fn look(&mut self, decoder: &mut Decoder) -> io::Result<Option<usize>> {
+        let room = decoder.room();
+        let (got, most) = (self.stream.get_ref().read(room), room.len());
+        match got {
+            Ok(bytes) => {
+                self.more = bytes == most;
+                decoder.filled(bytes);
+                Ok(Some(bytes))
+            }
+            Err(why) if why.kind() == io::ErrorKind::WouldBlock => Ok(None),
+            Err(why) => Err(why),
+        }
+    }
+
+    /// The last read filled its room.
+    pub fn expects_more(&self) -> bool {
+        self.more
+    }
+
     /// Waits first where nothing is to be expected: a try that finds nothing costs as much as one that reads.
     pub async fn read_into(&mut self, decoder: &mut Decoder) -> io::Result<usize> {
         if !self.more {
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -500,6 +500,7 @@
             no_copy: parent && gap.is_some_and(|gap| gap >= self.ledger.parent_tau),
             renew: trade.content.fresh.is_some() && source.is_some(),
             time_out: if self.profile.may_cancel { Span::ZERO } else { out.overdue },
+            start_within: self.window_left(held, now),
             ..Pull::plain(dl, best.node)
         };
         let ask = Ask {
@@ -524,7 +525,8 @@
         let Some(to) = to else { return self.give_up(dl, post) };
         let source = self.ready(Role::Origin).find(|_| !held.only_held).map(|l| l.node);
         let (oldest, join) = (self.oldest(&held.what, held.only_held, post.now), self.profile.may_join);
-        post.order(Order::Pull(Pull { source, oldest, join, ..Pull::plain(dl, to.node) }));
+        let start_within = self.window_left(held, post.now);
+        post.order(Order::Pull(Pull { source, oldest, join, start_within, ..Pull::plain(dl, to.node) }));
         self.place(dl, to.node, post.now);
     }
 
@@ -559,6 +561,14 @@
         }
     }
 
+    /// How long a repeat may wait for its connection, which may come up after its window has closed; zero: for ever.
+    fn window_left(&self, held: &Dl, now: Moment) -> Span {
+        match (held.may_have_run(), self.trades[held.what.content.0 as usize].content.repeat) {
+            (Some(first), Repeat::Deduped { memory, .. }) => memory.less(now.since(first.at)),
+            _ => Span::ZERO,
+        }
+    }
+
     /// Answers at once what this router won't go on with. A throttling reply promises that a repeat is
     /// harmless, so that what may have run gets one only where repeats are.
     fn give_up(&mut self, dl: DlIx, post: &mut Post) {
--- a/src/door.rs
+++ b/src/door.rs
@@ -142,6 +142,8 @@
     pub rank: u8,
     /// Zero: until the client leaves.
     pub time_out: Span,
+    /// It may wait so long for its connection, and must not be sent later; zero: until it times out.
+    pub start_within: Span,
     pub join: bool,
     pub only_held: bool,
     pub no_copy: bool,
@@ -151,9 +153,10 @@
 impl Pull {
     /// A look at what a node holds, which keeps and fills nothing.
     pub(crate) fn plain(dl: DlIx, node: NodeIx) -> Pull {
-        let (source, oldest, rank, time_out) = (None, Span::ZERO, 0, Span::ZERO);
+        let (source, oldest, rank) = (None, Span::ZERO, 0);
+        let (time_out, start_within) = (Span::ZERO, Span::ZERO);
         let (join, only_held, no_copy, renew) = (false, false, false, false);
-        Pull { dl, node, source, oldest, rank, time_out, join, only_held, no_copy, renew }
+        Pull { dl, node, source, oldest, rank, time_out, start_within, join, only_held, no_copy, renew }
     }
 }
 
--- a/src/time.rs
+++ b/src/time.rs
@@ -27,6 +27,7 @@
 
 impl Span {
     pub const ZERO: Span = Span(0);
+    pub const MAX: Span = Span(u64::MAX);
     pub const fn micros(us: u64) -> Self {
         Span(us)
     }
@@ -54,6 +55,12 @@
     }
 }
 
+impl From<Span> for std::time::Duration {
+    fn from(span: Span) -> Self {
+        Self::from_micros(span.0)
+    }
+}
+
 impl Add for Span {
     type Output = Span;
     fn add(self, by: Span) -> Span {
