--- a/deploy/sites/make.py
+++ b/deploy/sites/make.py
@@ -75,9 +75,10 @@
             "allow.max_attempts": "3",
             "rules.drain_grace_ms": "250",
             "rules.fall_multiple": "2.5",
-            "goal.whole": "0.6",
+            "goal.whole": "0.5",
             "goal.worst_window": "0.2",
             "goal.worst_class": "0.2",
+            "goal.worst_tenant": "0.1",
             "prices.cross_zone": "0.03",
             "prices.waste": "0.03",
             "prices.probe": "0.05",
@@ -93,6 +94,11 @@
             {"name": "claim", "share": "[0.4, 0.6]", "work_ms": "[20, 40]", "aim_ms": "800", "deadline_ms": "4000",
              "worth": "6", "late_worth": "0.1", "effect": "unsafe", "write": "true", "fam": {"parts": "1"}},
         ],
+        # One keeps to its share, the other asks for up to twice as much.
+        "tenants": [
+            {"name": "county", "share": "2", "usage": "[0.7, 1]"},
+            {"name": "survey-crew", "share": "1", "usage": "[1.4, 2]"},
+        ],
     },
 }
 
@@ -125,17 +131,20 @@
     return left
 
 
-def blocks(classes):
-    """Content types, and what of them belongs to the family, which has to follow its section."""
-    def block(head, values):
-        return [head, *(f"{k} = {v}" for k, v in values.items()), ""]
-
+def block(head, values):
     words = ("name", "effect", "group")
+    return [head, *(f'{k} = "{v}"' if k in words else f"{k} = {v}" for k, v in values.items()), ""]
+
+
+def blocks(variant):
+    """Content types and tenants, and what of them belongs to the family, which has to follow its section."""
     own, fam = [], []
-    for entry in classes:
-        values = {k: f'"{v}"' if k in words else v for k, v in entry.items() if k != "fam"}
+    for entry in variant["classes"]:
+        values = {k: v for k, v in entry.items() if k != "fam"}
         own += block("[[class]]", {"attempt_noise": "[0.05, 0.15]", **values})
         fam += block("[[fam.class]]", entry["fam"])
+    for entry in variant.get("tenants", []):
+        own += block("[[tenant]]", entry)
     return own, fam
 
 
@@ -143,7 +152,7 @@
     lines = without_classes(text.splitlines())
     for path, value in variant["set"].items():
         set_key(lines, path, value)
-    own, fam = blocks(variant["classes"])
+    own, fam = blocks(variant)
     if "[fam]" not in lines:
         fail(f"key fam is not in {GIVEN / SITE}")
     at = lines.index("[fam]")
