--- a/crates/router/src/routing/mod.rs
+++ b/crates/router/src/routing/mod.rs
@@ -268,7 +268,7 @@
             object: ObjectKey(wish.object.number()),
             part: wish.part,
             group: wish.group,
-            kilobytes: 0.0,
+            kilobytes: wish.kilobytes,
             leaves_at,
             repeat: wish.repeat,
         };
--- a/crates/router/tests/routing.rs
+++ b/crates/router/tests/routing.rs
@@ -98,8 +98,8 @@
     let hex = |n: u64| Hex::read(format!("{n:016x}").as_bytes()).unwrap();
     let (content, held, body) = (Bytes::from(content.to_string()), None, Bytes::new());
     let (id, object) = (hex(object + 77), hex(object));
-    let (part, group, repeat, dedup_key) = (0, 3, false, None);
-    Wish { id, content, object, part, group, waits_ms, repeat, dedup_key, held, body }
+    let (part, group, repeat, kilobytes, dedup_key) = (0, 3, false, 0.0, None);
+    Wish { id, content, object, part, group, waits_ms, repeat, kilobytes, dedup_key, held, body }
 }
 
 fn answer(word: Word, remark: Remark) -> Answer {
--- a/crates/standins/src/crowd.rs
+++ b/crates/standins/src/crowd.rs
@@ -222,6 +222,7 @@
         group: (object % 256) as u32,
         waits_ms: kind.waits_ms,
         repeat: false,
+        kilobytes: 0.0,
         dedup_key: None,
         held: None,
         body,
--- a/crates/wire/src/client.rs
+++ b/crates/wire/src/client.rs
@@ -8,6 +8,8 @@
 const GROUPS: u64 = 256;
 /// Longer waits are no figures: nobody waits an hour for an object.
 const LONGEST_WAIT_MS: u64 = 3_600_000;
+/// A terabyte: whatever is told beyond is no size.
+const LARGEST_KB: f32 = 1e9;
 const LONGEST_PLAIN: usize = 64;
 
 /// A download as its client words it.
@@ -20,6 +22,8 @@
     pub group: u32,
     pub waits_ms: u64,
     pub repeat: bool,
+    /// Kilobytes of the part that is asked for, where clients tell it; else zero.
+    pub kilobytes: f32,
     /// By which a repeat of a deduped download is known; its nodes have to get it as it is.
     pub dedup_key: Option<Bytes>,
     /// The tag of a copy that the client holds.
@@ -90,7 +94,7 @@
     let [_, _, content, list, body] = items else { return Err("not of five items") };
     let (mut id, mut object, mut waits_ms) = (None, None, None);
     let (mut part, mut group, mut repeat) = (Some(0), Some(0), Some(false));
-    let (mut held, mut dedup_key) = (Some(None), Some(None));
+    let (mut held, mut dedup_key, mut kilobytes) = (Some(None), Some(None), Some(0.0));
     for (name, value) in fields::read(list) {
         match name {
             b"i" => id = Hex::read(&value),
@@ -101,6 +105,7 @@
             b"r" => repeat = matches!(value.as_ref(), b"0" | b"1").then_some(value.as_ref() == b"1"),
             b"known" => held = read_plain(value),
             b"k" => dedup_key = read_plain(value),
+            b"m" => kilobytes = fields::number(&value).filter(|kb| (0.0..=LARGEST_KB).contains(kb)),
             _ => {}
         }
     }
@@ -112,6 +117,7 @@
         group: group.ok_or("field tag is malformed")? as u32,
         waits_ms: waits_ms.ok_or("field d is missing or malformed")?,
         repeat: repeat.ok_or("field r is malformed")?,
+        kilobytes: kilobytes.ok_or("field m is malformed")?,
         dedup_key: dedup_key.ok_or("field k is malformed")?,
         held: held.ok_or("field known is malformed")?,
         body: body.clone(),
--- a/crates/wire/tests/codec.rs
+++ b/crates/wire/tests/codec.rs
@@ -129,6 +129,11 @@
     assert_eq!((wish.waits_ms, wish.part, wish.group, wish.repeat), (1_500, 3, 17, true));
     assert_eq!((&wish.content[..], &wish.body[..]), (&b"segment"[..], &b"\x00\r\n$"[..]));
     assert_eq!(wish.held.as_deref(), Some(&b"4be0c1927d55a6f3"[..]));
+    assert_eq!((wish.kilobytes, wish.dedup_key), (0.0, None));
+    // What some operators' clients tell beside.
+    let list = "i=9b1f03aa5c7e2d41,d=1500,t=county,k=8ea6,o=7f3a9c21e0b4d655,m=3020.264,tag=9,chunk=0";
+    let Ok(FromClient::Wish { wish, .. }) = client::read(ask(list, b"")) else { panic!("no wish") };
+    assert_eq!((wish.kilobytes, wish.dedup_key.as_deref()), (3020.264, Some(&b"8ea6"[..])));
     for unusable in
         ["", "-", "i=9b1f03aa5c7e2d41,d=1500", "i=9b,d=1500,o=7f3a9c21e0b4d655", "i=,d=,o=,chunk=x"]
     {
@@ -149,6 +154,11 @@
                 "known=\"a\"",
                 "known=a\r\nb",
                 "known=é",
+                "k=a b",
+                "m=-1",
+                "m=nan",
+                "m=inf",
+                "m=1e12",
             ])
     {
         let read = client::read(ask(&format!("{good},{wrong}"), b""));
