A client that left while nobody read is heard of in the turn of its request

Seen: a router that was held up (stopped, or its connection still in the machine's queue) found a request and its client's close together, sent the request on, and cancelled it a moment later: a stand-in cache saw three downloads where two had a client. Cause: transport/client.rs next_bytes waited for the socket between reading a request and reading the end behind it, and the routing task had its turn in between. Change: the reader looks once more, without waiting, in the turn in which it took the last messages; the wait is only for more. Test: what_was_asked_by_a_client_that_has_left_is_not_sent_on, three of three failed on the code before, three of three pass.

--- a/crates/router/src/transport/client.rs
+++ b/crates/router/src/transport/client.rs
@@ -522,8 +522,9 @@
     None
 }
 
-/// Waits for more from the client, or for the moment in which the connection may be closed. Then it looks once more:
-/// what has come before the close is taken, and what comes after it is not.
+/// Waits for more from the client, or for the moment in which the connection may be closed. It looks before it waits,
+/// in the turn in which the last messages were taken: of a client that asked and left while nobody read, the routing
+/// task hears both at once, and what was there before a close is taken.
 async fn next_bytes(
     connection: &Connection,
     source: &mut Source<'_>,
@@ -536,25 +537,23 @@
     }
     loop {
         let (rests, ended) = (connection.rests.listen(), connection.ended.listen());
+        match source.look(decoder) {
+            Ok(None) => {}
+            Ok(Some(0)) => return gone("closed by the client".into()),
+            Ok(Some(_)) => return Ok(()),
+            Err(why) => return gone(why.to_string()),
+        }
         if let Some(why) = connection.may_close(decoder.is_inside()) {
-            return match source.look(decoder) {
-                Ok(None) => Err(Read::Closes(why.into())),
-                Ok(Some(0)) => gone("closed by the client".into()),
-                Ok(Some(_)) => Ok(()),
-                Err(why) => gone(why.to_string()),
-            };
+            return Err(Read::Closes(why.into()));
         }
-        // What is dropped here has read nothing: bytes are taken in the same turn in which they are read.
-        let read = async { Some(source.read_into(decoder).await) };
+        // What is dropped here has read nothing.
+        let readable = async { source.readable().await.err() };
         let look = async {
             or(rests, ended).await;
             None
         };
-        match or(read, look).await {
-            None => {}
-            Some(Ok(0)) => return gone("closed by the client".into()),
-            Some(Ok(_)) => return Ok(()),
-            Some(Err(why)) => return gone(why.to_string()),
+        if let Some(why) = or(readable, look).await {
+            return gone(why.to_string());
         }
     }
 }
--- a/crates/router/tests/crossings.rs
+++ b/crates/router/tests/crossings.rs
@@ -390,6 +390,28 @@
     assert_eq!(bed.client().fetch(1, "clip", 3, "").0, "ACK");
 }
 
+/// The router gets to read a request only when its client has already closed: nothing of it is sent on.
+#[test]
+fn what_was_asked_by_a_client_that_has_left_is_not_sent_on() {
+    for connected in [true, false] {
+        let bed = Bed::open(1, None, good);
+        let mut before = bed.client();
+        // So that a connection to the cache is there, and nothing would have to wait for one.
+        assert_eq!(before.fetch(9, "clip", 2, "").0, "ACK");
+        bed.signal("-STOP");
+        let client = if connected { before } else { bed.client() };
+        client.ask(1, "clip", 1, 3_000, "");
+        drop(client);
+        bed.signal("-CONT");
+        let mut usual = bed.client();
+        assert_eq!(usual.fetch(2, "clip", 2, "").0, "ACK");
+        let served = bed.saw("serve", 2);
+        let of_it =
+            served.iter().filter(|s| String::from_utf8_lossy(&s.1[2]).contains("obj=0000000000000001"));
+        assert_eq!(of_it.count(), 0);
+    }
+}
+
 /// Much at once and gone: nothing of it is at work a moment later.
 #[test]
 fn what_a_client_left_behind_is_called_back() {
--- a/crates/sockets/src/lib.rs
+++ b/crates/sockets/src/lib.rs
@@ -76,6 +76,10 @@
         self.stream
     }
 
+    pub async fn readable(&self) -> io::Result<()> {
+        self.stream.readable().await
+    }
+
     /// Reads and throws away; 0: the other side has closed.
     pub async fn discard(&mut self) -> io::Result<usize> {
         self.stream.readable().await?;
