A closed connection gives its place back with its descriptor; small limits keep room for own files

Causes: an id that is used again needs a connection that does not know it, and each such pull opened a further one (node.rs pull); clients and nodes were given seven eighths of the limit, which leaves 8 files for the eleven that are the program's own (limits.rs); a client's place was free before its writer had let go of the socket (client.rs). Change: a connection at rest that only knows the id gives way to the new one; 16 files are kept for the program below 128; a place is free once both sides of the connection have ended, and the client's going is told before that, in the turn of its last message. Also: what is wrong in a configuration is named with its value; timers are called timers in routing and at the core's door. Tests: an_id_that_comes_again_takes_no_further_room fails without its change; the configuration's test asks for the value.

--- a/crates/benchlink/src/host.rs
+++ b/crates/benchlink/src/host.rs
@@ -172,7 +172,7 @@
             })
         }
         Record::Aborted { ticket } => register.dl(*ticket).map(|dl| Event::Left { dl }),
-        Record::Elapsed { handle } => Some(Event::Rang { bell: *handle }),
+        Record::Elapsed { handle } => Some(Event::TimerFired { timer: *handle }),
         Record::Replaced { item, tag, age } => Some(Event::Purged {
             object: (*item != 0).then_some(ObjectKey(*item)),
             group: u32::from(*tag),
@@ -242,7 +242,7 @@
             Action::PushBack { ticket: register.dl_id(dl), not_before: wire_span(retry_after) }
         }
         Order::Abandon { dl } => Action::RespondError { ticket: register.dl_id(dl) },
-        Order::Ring { after, bell } => Action::Sleep { from_now: wire_span(after), handle: bell },
+        Order::SetTimer { after, timer } => Action::Sleep { from_now: wire_span(after), handle: timer },
         Order::WatchRoster => Action::Track { enable: true },
         Order::Forget { dl } => {
             register.forget_dl(dl);
--- a/crates/profile/src/lib.rs
+++ b/crates/profile/src/lib.rs
@@ -24,7 +24,7 @@
             .ok_or_else(|| format!("needed key {}.{key} is missing", self.path).replace("key .", "key "))
     }
     fn wrong<T>(&self, wanted: &str) -> Read<T> {
-        Err(format!("key {} is not {wanted}", self.path))
+        Err(format!("key {} is not {wanted}: {}", self.path, self.value))
     }
     fn number(&self) -> Read<f64> {
         self.value.as_f64().map_or_else(|| self.wrong("a number"), Ok)
--- a/crates/router/src/program/config.rs
+++ b/crates/router/src/program/config.rs
@@ -41,7 +41,10 @@
     }
     let need =
         |key: &str| json.get(key).filter(|v| !v.is_null()).ok_or(format!("needed key {key} is missing"));
-    let text = |key: &str| need(key)?.as_str().ok_or(format!("key {key} is not a text"));
+    let text = |key: &str| {
+        let value = need(key)?;
+        value.as_str().ok_or(format!("key {key} is not a text: {value}"))
+    };
     let address = |key: &str| {
         let text = text(key)?;
         text.parse::<SocketAddr>().map_err(|_| format!("key {key} is not an address: {text}"))
@@ -49,7 +52,9 @@
     let limit = |key: &str, absent: u64, least: u64| {
         let Some(value) = json.get("limits").and_then(|l| l.get(key)) else { return Ok(absent) };
         let number = value.as_f64().filter(|n| *n >= least as f64);
-        number.map(|n| n as u64).ok_or(format!("key limits.{key} is not a number of {least} or more"))
+        number
+            .map(|n| n as u64)
+            .ok_or(format!("key limits.{key} is not a number of {least} or more: {value}"))
     };
     let seed = text("seed")?;
     let seed = u64::from_str_radix(seed, 16).map_err(|_| format!("key seed is not a hex number: {seed}"))?;
--- a/crates/router/src/program/limits.rs
+++ b/crates/router/src/program/limits.rs
@@ -8,6 +8,8 @@
 const BODY: usize = 240_000;
 const WRITE_BODY: usize = 48_000;
 const OPEN_ON_A_CONNECTION: usize = 32;
+/// Files that are no connections of clients or nodes.
+const OWN_FILES: usize = 16;
 /// No longer deadline holds up a kill.
 const LONGEST_WAIT: Duration = Duration::from_secs(3);
 
@@ -108,12 +110,14 @@
 impl Limits {
     pub fn new(memory_mb: usize, sockets: usize, outside: &Outside) -> Limits {
         let memory = memory_mb << 20;
+        // The program's own are logs, signals, timers, the listener and the feed; most of them are there at any size.
+        let connections = sockets - (sockets / 8).max(OWN_FILES.min(sockets / 2));
         // A kill comes that long after the signal and 0.7 s more, so that a deadline shorter than usual brings it sooner.
         let drain_abandon =
             Duration::from(outside.longest_wait).min(LONGEST_WAIT) + Duration::from_millis(350);
         Limits {
-            clients: (sockets / 8 * 5).max(1),
-            node_connections: (sockets / 4).max(1),
+            clients: (connections / 7 * 5).max(1),
+            node_connections: (connections / 7 * 2).max(1),
             downloads: outside.most_held.max(1),
             held_bytes: memory / 8,
             client_held_bytes: memory / 64,
--- a/crates/router/src/routing/mod.rs
+++ b/crates/router/src/routing/mod.rs
@@ -24,7 +24,7 @@
 pub type PullNo = u64;
 type DlNo = u64;
 /// When it rings, and a number that tells it from others of that moment.
-type BellNo = (Moment, u64);
+type TimerNo = (Moment, u64);
 
 /// A pull that will bring no answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -83,7 +83,7 @@
 }
 
 #[derive(Clone, Copy)]
-enum Bell {
+enum Timer {
     Core(u32),
     PullTimesOut(PullNo),
     /// What has not left by then must not leave any more.
@@ -108,7 +108,7 @@
     wish: Wish,
     content: ContentIx,
     leaves_at: Moment,
-    deadline: BellNo,
+    deadline: TimerNo,
     answered: bool,
     /// All its pulls, by the numbers that the core gives them.
     pulls: Vec<PullNo>,
@@ -144,9 +144,9 @@
     /// Those whose downloads are held, so that no two are under way under one.
     ids: HashSet<Hex>,
     out: HashMap<PullNo, Out>,
-    bells: BTreeMap<BellNo, Bell>,
+    timers: BTreeMap<TimerNo, Timer>,
     events: Vec<Event>,
-    rung: u64,
+    timers_set: u64,
     last_dl: DlNo,
     last_pull: PullNo,
     witness: Option<Rc<dyn Witness>>,
@@ -172,9 +172,9 @@
             open: HashMap::new(),
             ids: HashSet::new(),
             out: HashMap::new(),
-            bells: BTreeMap::new(),
+            timers: BTreeMap::new(),
             events: Vec::new(),
-            rung: 0,
+            timers_set: 0,
             last_dl: 0,
             last_pull: 0,
             witness: None,
@@ -193,20 +193,20 @@
     }
 
     /// When `step` has to be called at the latest, news or none.
-    pub fn next_bell(&self) -> Option<Moment> {
-        self.bells.first_key_value().map(|((at, _), _)| *at)
+    pub fn next_timer(&self) -> Option<Moment> {
+        self.timers.first_key_value().map(|((at, _), _)| *at)
     }
 
-    /// Takes in what has come up to `now` and carries out what the core orders on it. News go before bells,
+    /// Takes in what has come up to `now` and carries out what the core orders on it. News go before timers,
     /// so that an answer that is here in time is not lost to a time-out of the same turn.
     pub fn step(&mut self, now: Moment, news: impl Iterator<Item = News>, outward: &mut dyn Outward) {
         self.now = now;
         for news in news {
             self.take_in(news, now, outward);
         }
-        while let Some(first) = self.bells.first_entry().filter(|first| first.key().0 <= now) {
-            let bell = first.remove();
-            self.ring(bell, now, outward);
+        while let Some(first) = self.timers.first_entry().filter(|first| first.key().0 <= now) {
+            let timer = first.remove();
+            self.fire(timer, now, outward);
         }
         let mut orders = Vec::new();
         while !self.events.is_empty() {
@@ -272,7 +272,7 @@
             leaves_at,
             repeat: wish.repeat,
         };
-        let deadline = self.set(leaves_at, Bell::Deadline(dl));
+        let deadline = self.set(leaves_at, Timer::Deadline(dl));
         let (answered, pulls, acted) = (false, Vec::new(), None);
         let held = Held { client, tag, wish, content, leaves_at, deadline, answered, pulls, acted };
         self.held.insert(dl, held);
@@ -284,7 +284,7 @@
     fn close(&mut self, dl: DlNo) -> Option<(ClientNo, u64)> {
         let held = self.held.get_mut(&dl).filter(|h| !h.answered)?;
         held.answered = true;
-        self.bells.remove(&held.deadline);
+        self.timers.remove(&held.deadline);
         self.open.remove(&(held.client, held.tag));
         Some((held.client, held.tag))
     }
@@ -391,7 +391,7 @@
                 }
                 for node in &gone {
                     outward.renew(*node);
-                    self.set(now + self.gone_kept, Bell::Forget(*node));
+                    self.set(now + self.gone_kept, Timer::Forget(*node));
                 }
                 closed.extend(gone);
                 let news = if whole { RosterNews::Whole } else { RosterNews::Changes };
@@ -426,45 +426,45 @@
         }
     }
 
-    fn set(&mut self, at: Moment, bell: Bell) -> BellNo {
-        self.rung += 1;
-        self.bells.insert((at, self.rung), bell);
-        (at, self.rung)
+    fn set(&mut self, at: Moment, timer: Timer) -> TimerNo {
+        self.timers_set += 1;
+        self.timers.insert((at, self.timers_set), timer);
+        (at, self.timers_set)
     }
 
-    fn ring(&mut self, bell: Bell, now: Moment, outward: &mut dyn Outward) {
-        match bell {
-            Bell::Core(bell) => self.events.push(Event::Rang { bell }),
-            Bell::PullTimesOut(pull) => self.time_out(pull, now, outward),
-            Bell::CalledBack(pull) => {
+    fn fire(&mut self, timer: Timer, now: Moment, outward: &mut dyn Outward) {
+        match timer {
+            Timer::Core(timer) => self.events.push(Event::TimerFired { timer }),
+            Timer::PullTimesOut(pull) => self.time_out(pull, now, outward),
+            Timer::CalledBack(pull) => {
                 // Guards against two at work at once where the node takes nothing, not even the cancel.
                 if self.out.get(&pull).is_some_and(|out| outward.still_calls_back(out.node, pull)) {
-                    self.set(now + self.call_back_settles, Bell::CalledBack(pull));
+                    self.set(now + self.call_back_settles, Timer::CalledBack(pull));
                 } else {
                     self.ended(pull, Ending::Cancelled, Remark::Nothing, Span::ZERO, now);
                 }
             }
-            Bell::StartsTooLate(pull) => {
+            Timer::StartsTooLate(pull) => {
                 if self.out.get(&pull).is_some_and(|out| outward.take_back(out.node, pull)) {
                     self.ended(pull, Ending::NotSent, Remark::Nothing, Span::ZERO, now);
                 }
             }
-            Bell::Deadline(dl) => {
+            Timer::Deadline(dl) => {
                 if let Some(held) = self.held.get(&dl).filter(|h| !h.answered) {
                     held.pulls.clone().into_iter().for_each(|pull| self.time_out(pull, now, outward));
-                    self.set(now + self.answer_grace, Bell::Overdue(dl));
+                    self.set(now + self.answer_grace, Timer::Overdue(dl));
                 }
             }
-            Bell::Forget(node) => {
+            Timer::Forget(node) => {
                 let in_use = |out: &Out| out.node == node || out.source == Some(node);
                 if self.out.values().any(in_use) {
-                    self.set(now + self.gone_kept, Bell::Forget(node));
+                    self.set(now + self.gone_kept, Timer::Forget(node));
                 } else if self.contacts.forget(node, self.gone_kept, now, &mut self.register) {
                     outward.forget(node);
                 }
             }
             // Guards the rule that all are answered against a core that holds one without a pull.
-            Bell::Overdue(dl) => {
+            Timer::Overdue(dl) => {
                 if self.held.get(&dl).is_some_and(|h| !h.answered) {
                     self.reply(dl, ToClient::Abandoned, outward);
                     self.events.extend(self.register.dl(dl).map(|dl| Event::Left { dl }));
@@ -495,15 +495,15 @@
                 }
                 // Guards against two pulls of one download at work at once: the next one may go over another
                 // connection, and would overtake the cancel on its way.
-                self.set(now + self.call_back_settles, Bell::CalledBack(pull));
+                self.set(now + self.call_back_settles, Timer::CalledBack(pull));
             }
             Order::Throttle { dl, retry_after } => {
                 let retry_after_ms = retry_after.as_micros().div_ceil(1_000);
                 self.reply(self.register.dl_id(dl), ToClient::Throttled { retry_after_ms }, outward);
             }
             Order::Abandon { dl } => self.reply(self.register.dl_id(dl), ToClient::Abandoned, outward),
-            Order::Ring { after, bell } => {
-                self.set(now + after, Bell::Core(bell));
+            Order::SetTimer { after, timer } => {
+                self.set(now + after, Timer::Core(timer));
             }
             // The feed runs from the start, asked for or not.
             Order::WatchRoster => {}
@@ -560,10 +560,10 @@
             return self.ended(pull, Ending::NotSent, Remark::Nothing, Span::ZERO, now);
         }
         if order.time_out > Span::ZERO {
-            self.set(until, Bell::PullTimesOut(pull));
+            self.set(until, Timer::PullTimesOut(pull));
         }
         if order.start_within > Span::ZERO {
-            self.set(now + order.start_within, Bell::StartsTooLate(pull));
+            self.set(now + order.start_within, Timer::StartsTooLate(pull));
         }
     }
 }
--- a/crates/router/src/routing/task.rs
+++ b/crates/router/src/routing/task.rs
@@ -18,19 +18,19 @@
 ) {
     let mut news = Vec::with_capacity(most_in_a_turn);
     let mut timer = Timer::never();
-    // Setting a timer costs calls to the system, so one that rings too early is left as it is.
+    // Setting a timer costs calls to the system, so one that fires too early is left as it is.
     let mut set_for: Option<Moment> = None;
     loop {
-        if let Some(bell) = routing.next_bell().filter(|bell| set_for.is_none_or(|at| *bell < at)) {
-            timer.set_at(clock.instant(bell));
-            set_for = Some(bell);
+        if let Some(due) = routing.next_timer().filter(|due| set_for.is_none_or(|at| *due < at)) {
+            timer.set_at(clock.instant(due));
+            set_for = Some(due);
         }
         let first = or(async { clients.recv().await.ok() }, async { inbox.recv().await.ok() });
-        let rung = async {
+        let fired = async {
             (&mut timer).await;
             None
         };
-        let woken = or(first, rung).await;
+        let woken = or(first, fired).await;
         if woken.is_none() {
             set_for = None;
         }
--- a/crates/router/src/transport/client.rs
+++ b/crates/router/src/transport/client.rs
@@ -318,18 +318,23 @@
         (self.last.get(), connection)
     }
 
-    fn leave(&self, client: ClientNo) {
-        let Some(connection) = self.connections.borrow_mut().remove(&client) else { return };
-        self.unsent.set(self.unsent.get() - connection.unsent.get());
-        let open = connection.open.borrow().len();
+    /// Nothing is owed to this client any more.
+    fn hang_up(&self, client: ClientNo, connection: &Connection) {
+        let open = connection.open.take().len();
         self.open.set(self.open.get() - open);
-        self.held.set(self.held.get() - connection.held.get());
-        self.left.notify(usize::MAX);
+        self.held.set(self.held.get() - connection.held.take());
         if open > 0 {
             self.tell(News::HungUp { client });
         }
     }
 
+    /// Its descriptor is free.
+    fn leave(&self, client: ClientNo) {
+        let Some(connection) = self.connections.borrow_mut().remove(&client) else { return };
+        self.unsent.set(self.unsent.get() - connection.unsent.get());
+        self.left.notify(usize::MAX);
+    }
+
     /// Fails only once the routing task has ended, and the program with it.
     fn tell(&self, news: News) {
         let _ = self.news.try_send(news);
@@ -425,7 +430,7 @@
     executor: super::Executor,
 ) {
     let _ = stream.get_ref().set_nodelay(true);
-    let writer = executor.spawn(write(clients.clone(), connection.clone(), stream.clone()));
+    let mut writer = executor.spawn(write(clients.clone(), connection.clone(), stream.clone()));
     let reader = async {
         let mut source = Source::new(&stream);
         match read(&clients, no, &connection, &mut source).await {
@@ -436,8 +441,13 @@
             }
         }
     };
-    let why = or(or(reader, writer), cut_off(&connection)).await;
+    let why = or(or(reader, &mut writer), cut_off(&connection)).await;
     debug!(clients.log, "client gone"; "client" => no, "why" => &why);
+    // At once, in the turn in which its last messages were taken; its place is free only once the descriptor is, which
+    // the writer holds too.
+    clients.hang_up(no, &connection);
+    writer.cancel().await;
+    drop(stream);
     clients.leave(no);
 }
 
--- a/crates/router/src/transport/node.rs
+++ b/crates/router/src/transport/node.rs
@@ -225,6 +225,12 @@
             connection.load() < limits.node_few && !connection.is_doubtful(limits.node_silence)
         };
         let own = connections.iter().filter(|connection| !connection.retired.get()).count();
+        if best.is_none() {
+            // At rest, and no good only because it knows this id: it gives way, so that an id that comes again and
+            // again takes no more room than one that is new.
+            let rests = connections.iter().find(|c| c.is_idle() && !c.retired.get());
+            rests.into_iter().for_each(|c| c.retire());
+        }
         let connection = match best {
             Some(connection) if good(&connection) => connection,
             Some(connection) if own >= limits.node_own_connections => connection,
--- a/crates/router/tests/links.rs
+++ b/crates/router/tests/links.rs
@@ -312,3 +312,26 @@
     });
     assert_eq!(told.len(), 2, "{told:?}");
 }
+
+/// An id that comes again and again needs a connection that does not know it; it gets the place of one that does.
+#[test]
+fn an_id_that_comes_again_takes_no_further_room() {
+    let answer = format!("*4\r\n$16\r\n{}\r\n$3\r\nACK\r\n$1\r\n-\r\n$0\r\n\r\n", id(1).as_str());
+    let mut nodes = Vec::new();
+    play_within(3, usize::MAX, async |links, contact, listener| {
+        listener.set_nonblocking(true).unwrap();
+        for pull in 1..=4 {
+            assert!(links.pull(0, contact, pull, id(1), packet(10)));
+            Timer::after(SHORT).await;
+            nodes.push(listener.accept().expect("over another").0);
+            nodes.last_mut().unwrap().write_all(answer.as_bytes()).unwrap();
+            Timer::after(SHORT).await;
+        }
+        let open = nodes.iter().filter(|node| {
+            node.set_nonblocking(true).unwrap();
+            let read = std::io::copy(&mut &**node, &mut std::io::sink());
+            read.is_err_and(|why| why.kind() == std::io::ErrorKind::WouldBlock)
+        });
+        assert_eq!(open.count(), 1);
+    });
+}
--- a/crates/router/tests/routing.rs
+++ b/crates/router/tests/routing.rs
@@ -134,8 +134,8 @@
     }
     fn wait(&mut self, ms: u64) {
         let until = self.now + Span::millis(ms);
-        while let Some(bell) = self.routing.next_bell().filter(|b| *b <= until) {
-            self.now = bell.max(self.now);
+        while let Some(due) = self.routing.next_timer().filter(|b| *b <= until) {
+            self.now = due.max(self.now);
             self.hear(Vec::new());
         }
         self.now = until;
@@ -154,22 +154,22 @@
     let Told::Members { members, .. } = all_ready() else { unreachable!() };
     let enter = |m| contacts.enter(m, &mut register, KINDS, &outside(), START).listing;
     let listings = members.iter().map(enter).collect();
-    let mut bells = Vec::new();
+    let mut timers = Vec::new();
     let mut direct: Vec<(u32, u32)> = Vec::new();
     let mut throttled = 0;
-    let mut turn = |now: Moment, event: Event, direct: &mut Vec<(u32, u32)>, bells: &mut Vec<Moment>| {
+    let mut turn = |now: Moment, event: Event, direct: &mut Vec<(u32, u32)>, timers: &mut Vec<Moment>| {
         let mut orders = Vec::new();
         brain.turn(now, vec![event], &mut orders);
         for order in orders {
             match order {
                 Order::Pull(pull) => direct.push((pull.dl.0, register.node_id(pull.node))),
-                Order::Ring { after, .. } => bells.push(now + after),
+                Order::SetTimer { after, .. } => timers.push(now + after),
                 Order::Throttle { .. } => throttled += 1,
                 _ => {}
             }
         }
     };
-    turn(START, Event::Roster { news: RosterNews::Whole, listings }, &mut direct, &mut bells);
+    turn(START, Event::Roster { news: RosterNews::Whole, listings }, &mut direct, &mut timers);
     let endings = [
         (Word::Good, Ending::Fulfilled, Remark::FromOrigin),
         (Word::Failed, Ending::Error, Remark::Nothing),
@@ -195,7 +195,7 @@
             wish: wish("page", object, 2_000),
             at: bed.now,
         }]);
-        turn(bed.now, Event::Arrived { dl: DlIx(0), download }, &mut direct, &mut bells);
+        turn(bed.now, Event::Arrived { dl: DlIx(0), download }, &mut direct, &mut timers);
         let mut number = 0;
         while bed.paper.pulls.len() > before + number {
             let (node, pull, _) = bed.paper.pulls[before + number].clone();
@@ -204,13 +204,13 @@
             let (dl, node, closed) = (DlIx(0), NodeIx(node), ending == Ending::Fulfilled);
             let (took, first_byte) = (Span::ZERO, Span::ZERO);
             let end = PullEnd { dl, pull: number as u8, node, ending, remark, closed, took, first_byte };
-            turn(bed.now, Event::Ended(end), &mut direct, &mut bells);
+            turn(bed.now, Event::Ended(end), &mut direct, &mut timers);
             number += 1;
         }
         let until = bed.now + Span::millis(7 + round % 11);
-        while let Some(at) = bells.first().copied().filter(|at| *at <= until) {
-            bells.remove(0);
-            turn(at, Event::Rang { bell: 0 }, &mut direct, &mut bells);
+        while let Some(at) = timers.first().copied().filter(|at| *at <= until) {
+            timers.remove(0);
+            turn(at, Event::TimerFired { timer: 0 }, &mut direct, &mut timers);
         }
         bed.wait(7 + round % 11);
     }
--- a/crates/router/tests/sockets.rs
+++ b/crates/router/tests/sockets.rs
@@ -410,6 +410,10 @@
         ("/settings/Zone", Value::Null, "Zone"),
         ("/settings/Allowed/StreamsPerConn", json!(0), "Allowed.StreamsPerConn"),
         ("/settings/Shapes", json!(3), "Shapes"),
+        ("/settings/Classes/0/Aim", json!(-3), "Classes[0].Aim"),
+        ("/settings/Classes/1/Aim", json!("soon"), "Classes[1].Aim"),
+        ("/settings/Classes/1/Idempotency", json!("maybe"), "Classes[1].Idempotency"),
+        ("/settings/Allowed/MaxRetryAfter", json!([]), "Allowed.MaxRetryAfter"),
     ];
     for (path, value, key) in cases {
         let mut config = bed.config.clone();
@@ -417,10 +421,10 @@
         let ended = start(&config).wait_with_output().unwrap();
         let said = String::from_utf8(ended.stderr).unwrap();
         let complaint: Vec<&str> = said.lines().filter(|l| l.starts_with("harestage-router:")).collect();
-        assert!(
-            !ended.status.success() && complaint.len() == 1 && complaint[0].contains(key),
-            "{path}: {said}"
-        );
+        let named = complaint.len() == 1 && complaint[0].contains(key);
+        let value = config.pointer(path).filter(|value| !value.is_null()).map(|value| value.to_string());
+        let told = value.is_none_or(|value| complaint[0].contains(value.trim_matches('"')));
+        assert!(!ended.status.success() && named && told, "{path}: {said}");
     }
     let mut router = Command::new(env!("CARGO_BIN_EXE_harestage-router"));
     let ended =
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -66,7 +66,7 @@
 impl Brain {
     pub fn open(profile: ServiceProfile, seed: u64, now: Moment) -> Brain {
         let mut post = Post { now, seed, ..Post::default() };
-        post.order(Order::Ring { after: BEAT, bell: 0 });
+        post.order(Order::SetTimer { after: BEAT, timer: 0 });
         // Where the roster must be asked for, the rules hold a router informed whether or not it asks.
         if profile.roster_on_call {
             post.order(Order::WatchRoster);
@@ -335,7 +335,7 @@
                 self.ledger.tidy(now, self.ledger.parent_tau * TABLE_CAP);
                 [&mut self.link, &mut self.origin].into_iter().for_each(|gate| gate.beat(now));
                 self.purges.tidy(now.before(self.profile.purge_settles + PURGE_MARGIN));
-                post.order(Order::Ring { after: BEAT, bell: 0 });
+                post.order(Order::SetTimer { after: BEAT, timer: 0 });
             }
             _ => {}
         }
--- a/src/door.rs
+++ b/src/door.rs
@@ -95,8 +95,8 @@
     Left {
         dl: DlIx,
     },
-    Rang {
-        bell: u32,
+    TimerFired {
+        timer: u32,
     },
     /// No object: every object of the group.
     Purged {
@@ -120,9 +120,9 @@
     Abandon {
         dl: DlIx,
     },
-    Ring {
+    SetTimer {
         after: Span,
-        bell: u32,
+        timer: u32,
     },
     WatchRoster,
     /// Nothing more will be said of this download: its index is free.
@@ -232,7 +232,7 @@
             Event::Arrived { dl, download } => Note::Arrived(dl, download),
             Event::Ended(end) => Note::Ended(end),
             Event::Left { dl } => Note::Left(dl),
-            Event::Rang { .. } => Note::Beat,
+            Event::TimerFired { .. } => Note::Beat,
             Event::Purged { object, group, ago } => Note::Purged { object, group, at: self.now.before(ago) },
         };
         self.send(To::Desk, note);
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -71,7 +71,7 @@
     pub orders: Vec<Order>,
     purges: Vec<(Option<ObjectKey>, u32, Moment)>,
     reached: Vec<Seen>,
-    bells: Vec<(Moment, u32)>,
+    timers: Vec<(Moment, u32)>,
     next: u32,
 }
 
@@ -83,8 +83,8 @@
     pub fn seeded(profile: ServiceProfile, seed: u64) -> Front {
         let now = Moment::at_micros(50_000_000);
         let brain = Brain::open(profile.clone(), seed, now);
-        let (roster, held, orders, purges, reached, bells, next) = Default::default();
-        let mut front = Front { now, brain, profile, roster, held, orders, purges, reached, bells, next };
+        let (roster, held, orders, purges, reached, timers, next) = Default::default();
+        let mut front = Front { now, brain, profile, roster, held, orders, purges, reached, timers, next };
         let all = CACHES.iter().chain(&PARENTS).chain([&ORIGIN]);
         front.list(RosterNews::Whole, all.map(|n| listing(*n, Phase::Ready, None)).collect());
         front
@@ -165,9 +165,9 @@
         let until = self.now + span;
         while self.now < until {
             self.now = (self.now + Span::millis(10)).min(until);
-            let due: Vec<_> = self.bells.iter().filter(|b| b.0 <= self.now).copied().collect();
-            self.bells.retain(|b| b.0 > self.now);
-            due.into_iter().for_each(|(_, bell)| self.turn(Event::Rang { bell }));
+            let due: Vec<_> = self.timers.iter().filter(|b| b.0 <= self.now).copied().collect();
+            self.timers.retain(|b| b.0 > self.now);
+            due.into_iter().for_each(|(_, timer)| self.turn(Event::TimerFired { timer }));
             for out in self.out() {
                 if self.held.get(&out.dl).is_some_and(|h| h.what.leaves_at <= self.now) {
                     self.end(out, Ending::TimedOut, Remark::Nothing);
@@ -190,7 +190,7 @@
 
     fn check(&mut self, order: Order) {
         match order {
-            Order::Ring { after, bell } => self.bells.push((self.now + after, bell)),
+            Order::SetTimer { after, timer } => self.timers.push((self.now + after, timer)),
             Order::Pull(pull) => self.check_pull(pull),
             Order::Throttle { dl, .. } | Order::Abandon { dl } => {
                 let held = self.held.get_mut(&dl.0).expect("rule 1: answered what is not held");
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -51,8 +51,8 @@
                     *number += 1;
                     reached += usize::from(pull.node.0 == COLD);
                 }
-                Order::Ring { after, bell } => {
-                    self.due.insert((now + after, u32::MAX, 0), Event::Rang { bell });
+                Order::SetTimer { after, timer } => {
+                    self.due.insert((now + after, u32::MAX, 0), Event::TimerFired { timer });
                 }
                 _ => {}
             }
