A pull is not written to an idle connection whose node has closed it

Cause, by reading: transport/node.rs write took a connection for open until its reader had seen the end, so that a pull written in between was lost as Broken; what must not run twice was then abandoned though it can't have run. Change: before a pull goes out on a connection with nothing under way, one look that takes no bytes; a closed one is ended, and the pull goes elsewhere as one that never left. Test: a_pull_is_not_written_to_a_connection_that_has_been_closed_at_rest puts the writer's turn before the reader's; four of four fail without the look, four of four pass.

--- a/crates/router/src/transport/node.rs
+++ b/crates/router/src/transport/node.rs
@@ -454,6 +454,10 @@
             connection.queue.borrow_mut().push_front(Queued { message, packet });
             return "this router may not act".into();
         }
+        if pull.is_some() && connection.written.borrow().is_empty() && has_closed(&placed.stream) {
+            connection.queue.borrow_mut().push_front(Queued { message, packet });
+            return "closed by the node while it was idle".into();
+        }
         connection.writing.set(pull);
         connection.writes.set(Some(Instant::now()));
         let packets = [packet];
@@ -481,6 +485,15 @@
     }
 }
 
+/// Guards what must not run twice: on a connection that its node has closed at rest, and whose end nobody has read yet, a
+/// pull would be written into nowhere, and nothing could prove that it never ran.
+fn has_closed(stream: &Stream) -> bool {
+    match stream.get_ref().peek(&mut [0]) {
+        Ok(bytes) => bytes == 0,
+        Err(why) => why.kind() != std::io::ErrorKind::WouldBlock,
+    }
+}
+
 /// Ends a write whose right has run out half way: what was not written whole never runs.
 async fn lapse(witness: &dyn Witness) -> Result<(), String> {
     while witness.may_act() {
--- a/crates/router/tests/crossings.rs
+++ b/crates/router/tests/crossings.rs
@@ -2,7 +2,8 @@
 //! brings about the second. docs/crossings.md has the table of them.
 mod bed;
 
-use bed::{Bed, Client, LONG, Reply, subscribed};
+use bed::{BOUNDS, Bed, Client, LONG, Reply, receive, send, subscribed};
+use harestage_wire::resp::Decoder;
 use serde_json::json;
 use std::io::{Read, Write};
 use std::net::{TcpListener, TcpStream};
@@ -412,6 +413,47 @@
     }
 }
 
+/// A cache closes its idle connection, and the router gets to read that only together with the next request: what must
+/// not run twice goes over another connection, since it can't have run on this one.
+#[test]
+fn an_idle_connection_that_its_cache_has_closed_is_not_written_to() {
+    let node = TcpListener::bind("127.0.0.1:0").unwrap();
+    let mut bed = Bed::open(1, None, good);
+    bed.config["known"]["events"][0]["members"]["endpoints"][0]["address"] =
+        json!(node.local_addr().unwrap().to_string());
+    bed.restart();
+    let serve = |stream: &TcpStream| {
+        stream.set_read_timeout(Some(LONG)).unwrap();
+        let mut decoder = Decoder::new(BOUNDS, 4_096);
+        let items = receive(stream, &mut decoder).expect("a request");
+        send(stream, &[&items[1], b"ACK", b"res=MISS_ORIGIN,first=3", b"done"]);
+        items
+    };
+    let mut client = bed.client();
+    client.ask(1, "filing", 3, 2_000, "");
+    let (first, _) = node.accept().unwrap();
+    serve(&first);
+    assert_eq!(client.next().unwrap()[1], "ACK");
+    bed.signal("-STOP");
+    drop(first);
+    client.ask(2, "filing", 4, 2_000, "");
+    bed.signal("-CONT");
+    let answers = std::thread::spawn(move || client.next());
+    node.set_nonblocking(true).unwrap();
+    let until = Instant::now() + Duration::from_secs(3);
+    let second = loop {
+        match node.accept() {
+            Ok((second, _)) => break second,
+            Err(why) => assert!(Instant::now() < until, "it was written to the closed one: {why}"),
+        }
+        std::thread::sleep(Duration::from_millis(5));
+    };
+    second.set_nonblocking(false).unwrap();
+    let items = serve(&second);
+    assert!(String::from_utf8_lossy(&items[2]).contains("obj=0000000000000004"));
+    assert_eq!(answers.join().unwrap().unwrap()[1], "ACK");
+}
+
 /// Much at once and gone: nothing of it is at work a moment later.
 #[test]
 fn what_a_client_left_behind_is_called_back() {
--- a/crates/router/tests/links.rs
+++ b/crates/router/tests/links.rs
@@ -335,3 +335,27 @@
         assert_eq!(open.count(), 1);
     });
 }
+
+/// A node closes a connection at rest, and nobody has read that when the next pull is written: it must not be lost where
+/// nothing could prove that it never ran.
+#[test]
+fn a_pull_is_not_written_to_a_connection_that_has_been_closed_at_rest() {
+    let answer = format!("*4\r\n$16\r\n{}\r\n$3\r\nACK\r\n$1\r\n-\r\n$0\r\n\r\n", id(1).as_str());
+    let told = play_within(3, usize::MAX, async |links, contact, listener| {
+        assert!(links.pull(0, contact, 1, id(1), packet(10)));
+        Timer::after(SHORT).await;
+        let mut node = listener.accept().unwrap().0;
+        node.write_all(answer.as_bytes()).unwrap();
+        Timer::after(SHORT).await;
+        // Nothing runs between the pull and the close, and the writer comes first then: its turn is queued already.
+        let mut all = [0; 128];
+        let _ = node.read(&mut all).unwrap();
+        assert!(links.pull(0, contact, 2, id(2), packet(10)));
+        drop(node);
+        Timer::after(SHORT).await;
+    });
+    assert!(
+        matches!(told[..], [News::Answered { pull: 1, .. }, News::Lost { pull: 2, loss: Loss::NeverLeft }]),
+        "{told:?}"
+    );
+}
