--- a/crates/router/src/transport/client.rs
+++ b/crates/router/src/transport/client.rs
@@ -490,7 +490,8 @@
         if let Some((tag, why)) = taken_in(clients, no, connection, message) {
             unusable += 1;
             if unusable > limits.client_unusable {
-                return Read::Closes("too many unusable messages".into());
+                // A flood: what it holds open takes room from others, so that nothing more is done for it.
+                return Read::Gone("too many unusable messages".into());
             }
             clients.complain(no, "client message unusable", why);
             clients.queue(connection, client::write(tag, &ToClient::Abandoned));
--- a/crates/router/tests/sockets.rs
+++ b/crates/router/tests/sockets.rs
@@ -177,6 +177,18 @@
     assert_eq!(told.unwrap()[..2], ["33", "FAIL"]);
 }
 
+/// Past a few messages without use a client is a flood: what it has open is called back, and it is cut off.
+#[test]
+fn a_flood_of_messages_without_use_is_cut_off() {
+    let bed = Bed::open(1, None, |_, _| Reply::Silence);
+    let mut flood = bed.client();
+    flood.ask(1, "clip", 1, 9_000, "");
+    bed.saw("serve", 1);
+    (2..=10).for_each(|tag: u64| flood.send(&[b"WHAT", tag.to_string().as_bytes()]));
+    assert!(std::iter::from_fn(|| flood.next()).all(|items| items[1] == "FAIL" && items[0] != "1"));
+    bed.saw("cancel", 1);
+}
+
 /// Guards the descriptors against clients that keep connections for nothing. What is under way stays.
 #[test]
 fn connections_that_get_nowhere_are_closed_in_time() {
