--- a/crates/router/tests/links.rs
+++ b/crates/router/tests/links.rs
@@ -359,3 +359,31 @@
         "{told:?}"
     );
 }
+
+/// An answer that never ends: bytes keep coming, so that it has not stopped. It holds up nothing beside its own pull, and
+/// its connection is ended as that is given up.
+#[test]
+fn an_answer_that_never_ends_holds_up_only_its_own_pull() {
+    let head = format!("*4\r\n$16\r\n{}\r\n$3\r\nACK\r\n$1\r\n-\r\n$9000\r\n", id(1).as_str());
+    let mut nodes = Vec::new();
+    let lost = play_on(3, async |links, contact, listener| {
+        assert!(links.pull(0, contact, 1, id(1), packet(10)));
+        Timer::after(SHORT).await;
+        nodes.push(listener.accept().unwrap().0);
+        (&nodes[0]).write_all(head.as_bytes()).unwrap();
+        for _ in 0..12 {
+            (&nodes[0]).write_all(b"x").unwrap();
+            Timer::after(Duration::from_millis(100)).await;
+        }
+        listener.set_nonblocking(true).unwrap();
+        assert!(links.pull(0, contact, 2, id(2), packet(10)));
+        Timer::after(SHORT).await;
+        nodes.push(listener.accept().expect("the second goes over another").0);
+        assert!(!links.cancel(0, 1));
+        Timer::after(Duration::from_millis(700)).await;
+        let mut first = &nodes[0];
+        first.set_read_timeout(Some(Duration::from_millis(500))).unwrap();
+        std::io::copy(&mut first, &mut std::io::sink()).expect("ended, not left open");
+    });
+    assert_eq!(lost, []);
+}
