--- a/crates/router/tests/links.rs
+++ b/crates/router/tests/links.rs
@@ -25,6 +25,15 @@
     Packet { head: head(&[b"serve"], body), body: Bytes::from(vec![0; body]) }
 }
 
+/// A whole answer without bytes, and one that says that thousands of bytes follow.
+fn answer(n: u64, word: &str) -> String {
+    format!("*4\r\n$16\r\n{}\r\n$3\r\n{word}\r\n$1\r\n-\r\n$0\r\n\r\n", id(n).as_str())
+}
+
+fn begun_answer(n: u64) -> String {
+    format!("*4\r\n$16\r\n{}\r\n$3\r\nACK\r\n$1\r\n-\r\n$9000\r\n", id(n).as_str())
+}
+
 fn id(n: u64) -> Hex {
     Hex::read(format!("{n:016x}").as_bytes()).unwrap()
 }
@@ -189,7 +198,7 @@
 /// keep coming, but no answer does.
 #[test]
 fn a_connection_that_gets_nowhere_takes_no_further_pulls_and_ends_where_an_answer_stopped() {
-    let head = format!("*4\r\n$16\r\n{}\r\n$3\r\nACK\r\n$1\r\n-\r\n$9000\r\n", id(1).as_str());
+    let head = begun_answer(1);
     let mut nodes = Vec::new();
     let lost = play_on(3, async |links, contact, listener| {
         assert!(links.pull(0, contact, 1, id(1), packet(10)));
@@ -238,18 +247,16 @@
 /// A node answers one pull twice. The second answer must not pass for that to the next pull of the same download.
 #[test]
 fn a_second_answer_is_nobodys() {
-    let answer =
-        |word: &str| format!("*4\r\n$16\r\n{}\r\n$3\r\n{word}\r\n$1\r\n-\r\n$0\r\n\r\n", id(1).as_str());
     let mut nodes = Vec::new();
     let told = play_within(3, usize::MAX, async |links, contact, listener| {
         assert!(links.pull(0, contact, 1, id(1), packet(10)));
         Timer::after(SHORT).await;
         nodes.push(listener.accept().unwrap().0);
-        (&nodes[0]).write_all(answer("EIO").as_bytes()).unwrap();
+        (&nodes[0]).write_all(answer(1, "EIO").as_bytes()).unwrap();
         Timer::after(SHORT).await;
         assert!(links.pull(0, contact, 2, id(1), packet(10)));
         Timer::after(SHORT).await;
-        (&nodes[0]).write_all(answer("ACK").as_bytes()).unwrap();
+        (&nodes[0]).write_all(answer(1, "ACK").as_bytes()).unwrap();
         Timer::after(SHORT).await;
         listener.set_nonblocking(true).unwrap();
         nodes.push(listener.accept().expect("the second goes over another").0);
@@ -289,14 +296,12 @@
     let mut nodes = Vec::new();
     let told = play_within(1, 2, async |links, contact, listener| {
         listener.set_nonblocking(true).unwrap();
-        let answer =
-            |n: u64| format!("*4\r\n$16\r\n{}\r\n$3\r\nACK\r\n$1\r\n-\r\n$0\r\n\r\n", id(n).as_str());
         // Two connections to as many nodes, both at rest.
         for node in 0..2 {
             assert!(links.pull(node, contact, u64::from(node), id(u64::from(node)), packet(10)));
             Timer::after(SHORT).await;
             nodes.push(listener.accept().unwrap().0);
-            (&nodes[node as usize]).write_all(answer(node.into()).as_bytes()).unwrap();
+            (&nodes[node as usize]).write_all(answer(node.into(), "ACK").as_bytes()).unwrap();
         }
         Timer::after(SHORT).await;
         // Two more in one turn: both of the idle ones give way, and there is no place for a third.
@@ -316,7 +321,7 @@
 /// An id that comes again and again needs a connection that does not know it; it gets the place of one that does.
 #[test]
 fn an_id_that_comes_again_takes_no_further_room() {
-    let answer = format!("*4\r\n$16\r\n{}\r\n$3\r\nACK\r\n$1\r\n-\r\n$0\r\n\r\n", id(1).as_str());
+    let answer = answer(1, "ACK");
     let mut nodes = Vec::new();
     play_within(3, usize::MAX, async |links, contact, listener| {
         listener.set_nonblocking(true).unwrap();
@@ -340,7 +345,7 @@
 /// nothing could prove that it never ran.
 #[test]
 fn a_pull_is_not_written_to_a_connection_that_has_been_closed_at_rest() {
-    let answer = format!("*4\r\n$16\r\n{}\r\n$3\r\nACK\r\n$1\r\n-\r\n$0\r\n\r\n", id(1).as_str());
+    let answer = answer(1, "ACK");
     let told = play_within(3, usize::MAX, async |links, contact, listener| {
         assert!(links.pull(0, contact, 1, id(1), packet(10)));
         Timer::after(SHORT).await;
@@ -364,7 +369,7 @@
 /// its connection is ended as that is given up.
 #[test]
 fn an_answer_that_never_ends_holds_up_only_its_own_pull() {
-    let head = format!("*4\r\n$16\r\n{}\r\n$3\r\nACK\r\n$1\r\n-\r\n$9000\r\n", id(1).as_str());
+    let head = begun_answer(1);
     let mut nodes = Vec::new();
     let lost = play_on(3, async |links, contact, listener| {
         assert!(links.pull(0, contact, 1, id(1), packet(10)));
