Review: copies that waited for the hub's disk outlive their purge

A copy that waits to be written is put on disk after a purge has taken it out, since removals go past the queue. The checkpoint covers that purge, so that after a planned stop and a start the hub gives the copy out. review/2 plays it with a hub, the service of purges and a stand-in archive on loopback.

--- a/review/stand-ins/main.rs
+++ b/review/stand-ins/main.rs
@@ -5,6 +5,7 @@
 mod one;
 mod proxy;
 mod router;
+mod two;
 
 use std::process::exit;
 
@@ -13,8 +14,9 @@
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let play: fn(&mut common::Play) -> Result<bool, String> = match case.as_str() {
         "1" => one::play,
+        "2" => two::play,
         _ => {
-            eprintln!("review-case: which case? 1");
+            eprintln!("review-case: which case? 1 or 2");
             exit(2);
         }
     };
