Review: bursts at moments of their own in the third case

Change: each burst comes at a moment of its own within its tenth of a second; six rounds of purges in place of four.

--- a/review/stand-ins/three.rs
+++ b/review/stand-ins/three.rs
@@ -14,7 +14,7 @@
 /// Groups of objects, as the operators' simulator has them; an object's group is its number modulo this.
 const GROUPS: u64 = 32;
 /// How often all groups are purged, and the time between two purges: 12 a second.
-const FLUSHES: u64 = 4;
+const FLUSHES: u64 = 6;
 const EVERY_MS: u64 = 80;
 
 pub fn play(play: &mut Play) -> Result<bool, String> {
@@ -54,7 +54,10 @@
                 let Some(mut line) = Caller::to(hub) else { return got };
                 while !stop.load(Ordering::SeqCst) {
                     let object = next.fetch_add(1, Ordering::SeqCst);
-                    let due = begun + Duration::from_micros(object / CALLERS * CALLERS * 1_000_000 / RATE);
+                    // At a moment of its own within each tenth of a second, so that nothing keeps step with the purges.
+                    let burst = object / CALLERS;
+                    let wait = (burst.wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 40) % 100_000;
+                    let due = begun + Duration::from_micros(burst * CALLERS * 1_000_000 / RATE + wait);
                     std::thread::sleep(due.saturating_duration_since(Instant::now()));
                     let list =
                         format!("kind=case-media,obj={object:016x},seg=0,ms=3000,parent=archive,shelf=2");
