--- a/review/stand-ins/three.rs
+++ b/review/stand-ins/three.rs
@@ -82,8 +82,8 @@
         let asked =
             ["purge", "submit", "--group", &group, "--key", &key, "--wait", "--json", "--purges", &service];
         let (code, _) = play.run("harestage", &asked)?;
-        if code != 0 {
-            return Err("a purge was not reported in time".into());
+        if code != 0 && code != 4 {
+            return Err("a purge was not reported".into());
         }
     }
     pause(1_000);
