Branch feed: routers no longer name a fenced hub as the source of a fill

Cause: a feed confirmed the items that fence members for all its routers and dropped them (Action::SetFenced in Purges::apply, crates/branch/src/net.rs). Hubs pass fenced hubs by; routers, which name the source of each fill, went on by the shape alone. Evidence: the record of the case shows "accept any age, filled from hub-a" for each old copy, and the status of the service that the feed had confirmed the fence. Copies that came by the other hub were all new, and the bound of ages is gone by then (PurgeSettles). Change: the board shows ties without fenced hubs, before the marks that routers confirm, to those who follow, call later, go by a new version or by the plan for a lost site. No tie left: fills come from the archive. A fence under a number that is confirmed already ends the connections. The feed's log says which ties are fenced.

--- a/crates/branch/src/board.rs
+++ b/crates/branch/src/board.rs
@@ -16,7 +16,7 @@
 use harestage_sites::fallback::{FallbackChange, FallbackMode};
 use harestage_sites::liveness::SiteObservation;
 use harestage_wire::feed::AppliedPurges;
-use std::collections::{BTreeMap, HashSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashSet, VecDeque};
 use std::rc::Rc;
 
 /// Sayings that are kept for those who are behind; who is further behind calls again and is told the whole.
@@ -98,6 +98,10 @@
     groups: u32,
     version: Option<Shape>,
     standby: FallbackMode,
+    /// Members that lack a purge: no router may name one as the source of a fill.
+    fenced: BTreeSet<String>,
+    /// When hubs of the version were freed last, Unix milliseconds. Routers ask them like hubs that started then.
+    freed_at_ms: BTreeMap<String, u64>,
     shown: VecDeque<Rc<Shape>>,
     /// In the order of their numbers, so that the oldest go first and what follows a number is found at once.
     live: VecDeque<Live>,
@@ -126,6 +130,8 @@
             groups,
             version: None,
             standby: FallbackMode::new(now),
+            fenced: BTreeSet::new(),
+            freed_at_ms: BTreeMap::new(),
             shown: VecDeque::new(),
             live: VecDeque::new(),
             purged_groups: BTreeMap::new(),
@@ -160,6 +166,7 @@
             return turn;
         }
         self.standby.set_version(shape.version(), shape.sites().into_iter(), plans, now);
+        self.freed_at_ms.retain(|hub, _| shape.find(hub).is_some());
         self.version = Some(shape);
         self.show();
         turn
@@ -207,9 +214,9 @@
         Some(turn)
     }
 
-    /// The ties as they are to be shown: the version's, or while no service speaks those of the plan for what is lost; and
-    /// where nobody made one, those that are left.
-    fn ties(&self, shape: &Shape) -> Option<Vec<NodeIndex>> {
+    /// The ties while a site is lost and no service speaks: those of the plan; and where nobody made one, those that are
+    /// left.
+    fn fallback_ties(&self, shape: &Shape) -> Option<Vec<NodeIndex>> {
         if self.standby.excluded_sites().is_empty() {
             return None;
         }
@@ -228,15 +235,53 @@
         Some(of_plan.filter(|ties| !ties.is_empty()).unwrap_or_else(own)).filter(|ties| !ties.is_empty())
     }
 
+    /// The hubs that routers may name as sources: the ties in use without those that are fenced. There may be none left:
+    /// fills then come from the archive, which is never older than a purge.
+    fn ties(&self, version: &Shape) -> Vec<NodeIndex> {
+        let own =
+            || version.find(&self.branch).map_or(Vec::new(), |branch| version.upstreams(branch).to_vec());
+        let mut ties = self.fallback_ties(version).unwrap_or_else(own);
+        ties.retain(|hub| !self.fenced.contains(version.name(*hub)));
+        ties
+    }
+
+    /// The version as routers are to see it.
+    fn visible_shape(&self, version: &Shape) -> Shape {
+        let Some(branch) = version.find(&self.branch) else { return version.clone() };
+        let ties = self.ties(version);
+        let visible = match ties == version.upstreams(branch) {
+            true => version.clone(),
+            false => version.with_upstreams(version.version(), [(branch, ties.as_slice())]),
+        };
+        self.with_slow_starts(visible)
+    }
+
+    /// A hub that was freed has lost what was purged, and its load comes back at once: it counts as started then.
+    fn with_slow_starts(&self, shape: Shape) -> Shape {
+        if self.freed_at_ms.is_empty() {
+            return shape;
+        }
+        let mut config = shape.to_config();
+        for hub in &mut config.hubs {
+            hub.since_ms = hub.since_ms.max(self.freed_at_ms.get(&hub.name).copied().unwrap_or(0));
+        }
+        shape.successor(&config).unwrap_or(shape)
+    }
+
+    /// Shows the ties again if fences have changed them. Returns whether they have.
+    fn show_fences(&mut self) -> bool {
+        let (Some(version), Some(shown)) = (&self.version, self.shown.back()) else { return false };
+        let Some(branch) = version.find(&self.branch) else { return false };
+        let changed = self.ties(version) != shown.upstreams(branch);
+        if changed {
+            self.show();
+        }
+        changed
+    }
+
     fn show(&mut self) {
         let Some(version) = &self.version else { return };
-        let now = match (self.ties(version), version.find(&self.branch)) {
-            (Some(ties), Some(branch)) => {
-                version.with_upstreams(version.version(), [(branch, ties.as_slice())])
-            }
-            _ => version.clone(),
-        };
-        let now = Rc::new(now);
+        let now = Rc::new(self.visible_shape(version));
         let (before, long_before) = (self.shown.back().cloned(), self.shown.iter().rev().nth(1).cloned());
         self.shown.push_back(now.clone());
         while self.shown.len() > SHAPES {
@@ -276,6 +321,22 @@
         }
     }
 
+    /// Which members are fenced from now on. Routers are told with the purges that are taken next, before the marks that
+    /// they confirm: a fence holds once they have.
+    pub fn set_fenced(&mut self, fenced: BTreeSet<String>, now: Moment) {
+        let known = |name: &&String| self.version.as_ref().is_some_and(|shape| shape.find(name).is_some());
+        let freed: Vec<String> = self.fenced.difference(&fenced).filter(known).cloned().collect();
+        self.freed_at_ms.extend(freed.into_iter().map(|name| (name, now.micros() / 1_000)));
+        self.fenced = fenced;
+    }
+
+    /// Hubs that no router may name as a source, of those that the branch is tied to.
+    pub fn fenced_ties(&self) -> Vec<&str> {
+        let Some(version) = &self.version else { return Vec::new() };
+        let ties = version.find(&self.branch).map_or(&[][..], |branch| version.upstreams(branch));
+        ties.iter().map(|hub| version.name(*hub)).filter(|name| self.fenced.contains(*name)).collect()
+    }
+
     /// Purges of the service in their order; `has` is the number up to which there is none beside them and those before.
     pub fn take(&mut self, purges: &[(CompiledScope, Moment)], has: u64) -> Took {
         // Each has a number of its own, and the last has this one at most.
@@ -302,12 +363,14 @@
             unknown |= !matches!(scope, CompiledScope::Everything);
             self.purge(scope, self.last_at_ms, number);
         }
+        let unconfirmed = self.show_fences() || unknown;
         if has != before {
             self.has_purges = has;
             self.goes_by_purge = has.max(self.goes_by_purge);
             self.say_marks();
         }
-        if has < before || has == before && unknown { Took::Anew } else { Took::OnTop }
+        // Under a number that routers have confirmed already they can't confirm anything more.
+        if has < before || has == before && unconfirmed { Took::Anew } else { Took::OnTop }
     }
 
     fn has_taken(&self, scope: &CompiledScope, at_ms: u64, known: &HashSet<(u64, u64)>) -> bool {
--- a/crates/branch/src/net.rs
+++ b/crates/branch/src/net.rs
@@ -15,6 +15,7 @@
 use harestage_following::{Line, control, looks, purges};
 use harestage_purge::follower::Action;
 use harestage_purge::messages::Past;
+use harestage_purge::scope::CompiledScope;
 use harestage_shape::control::HubReport;
 use harestage_shape::feed;
 use harestage_shape::messages;
@@ -26,7 +27,7 @@
 use harestage_wire::feed::{Ack, AppliedPurges, MAX_ACK_BYTES};
 use slog::{Logger, info, warn};
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::{SocketAddr, TcpListener};
 use std::rc::Rc;
 use std::time::Duration;
@@ -304,15 +305,15 @@
         if !acts.is_empty() {
             info!(self.0.log, "purges told"; "has" => has, "many" => acts.len());
         }
-        // Routers name no hub as a source that the shape does not name; hubs pass fenced ones by.
-        let purges = acts.into_iter().filter_map(|act| match act {
-            Action::Purge { scope, at } => Some((scope, at)),
-            Action::SetFenced(_) => None,
-        });
+        let (purges, fences) = split(acts);
         let (took, folds, place) = {
             let mut board = self.0.board.borrow_mut();
             let before = board.folds();
-            let took = board.take(&purges.collect::<Vec<_>>(), has);
+            if let Some(fenced) = fences {
+                board.set_fenced(fenced, self.0.clock.now());
+                info!(self.0.log, "fences told"; "has" => has, "ties" => board.fenced_ties().join(" "));
+            }
+            let took = board.take(&purges, has);
             if ready {
                 board.knows_purges();
             }
@@ -344,6 +345,18 @@
     }
 }
 
+/// The purges among what a follower is told, and the latest set of fenced members, if that has changed.
+fn split(actions: Vec<Action>) -> (Vec<(CompiledScope, Moment)>, Option<BTreeSet<String>>) {
+    let (mut purges, mut fences) = (Vec::new(), None);
+    for action in actions {
+        match action {
+            Action::Purge { scope, at } => purges.push((scope, at)),
+            Action::SetFenced(fenced) => fences = Some(fenced),
+        }
+    }
+    (purges, fences)
+}
+
 async fn beats(shared: Rc<Shared>) {
     loop {
         Timer::after(BEAT).await;
--- a/crates/branch/tests/boards.rs
+++ b/crates/branch/tests/boards.rs
@@ -149,6 +149,48 @@
     assert_eq!(router.parents(), ["w"], "to be tied to nobody helps nobody");
 }
 
+/// The fences under the next number.
+fn fence(board: &mut Board, members: &[&str], ms: u64) {
+    board.set_fenced(members.iter().map(|name| name.to_string()).collect(), at(ms));
+    assert_eq!(board.take(&[], board.goes().1 + 1), Took::OnTop);
+}
+
+/// Guards against routers that fill from a fenced hub.
+#[test]
+fn fenced_hubs_are_no_ties_under_versions_plans_and_fences_to_come() {
+    let mut board = Board::new("br", 4, false, at(1_000));
+    board.told(&version(5, &["e", "w"]), vec![planned(&["west"], &["e", "n"])], at(1_000));
+    let mut router = Router::default();
+    router.calls(&board);
+    fence(&mut board, &["w"], 1_100);
+    router.follows(&board);
+    assert_eq!((router.parents(), board.fenced_ties()), (vec!["e"], vec!["w"]));
+    board.told(&version(6, &["n", "w"]), vec![planned(&["west"], &["e", "n"])], at(1_200));
+    router.follows(&board);
+    assert_eq!(router.parents(), ["n"], "a new version does not lift a fence");
+    // Members that the branch is not tied to change nothing for its routers.
+    let place = board.place();
+    fence(&mut board, &["e", "feed-of-another-branch", "w"], 1_300);
+    let said: Vec<_> = board.after(place).unwrap().collect();
+    assert!(matches!(said[..], [Saying::Marks { .. }]), "{said:?}");
+    let ms = west_is_lost(&mut board, 1_300);
+    router.follows(&board);
+    assert_eq!(router.parents(), ["n"], "nor does a plan");
+    fence(&mut board, &["e", "n", "w"], ms);
+    router.follows(&board);
+    assert!(router.parents().is_empty(), "fills come from the archive where all ties are fenced");
+    let mut late = Router::default();
+    late.calls(&board);
+    assert!(late.parents().is_empty());
+    board.service_spoke(at(ms + 100));
+    fence(&mut board, &[], ms + 200);
+    router.follows(&board);
+    assert_eq!(router.parents(), ["n", "w"]);
+    // A fence under a number that routers have confirmed already has to reach them by a new list.
+    board.set_fenced(["w".to_string()].into(), at(ms + 300));
+    assert_eq!(board.take(&[], board.goes().1), Took::Anew);
+}
+
 #[test]
 fn purges_are_told_by_object_or_of_all_groups_and_anew_to_whoever_calls() {
     let mut board = Board::new("br", 3, true, at(1_000));
--- a/crates/branch/tests/feeds.rs
+++ b/crates/branch/tests/feeds.rs
@@ -11,6 +11,7 @@
 use harestage_wire::feed::{Ack, AppliedPurges, MAX_ACK_BYTES};
 use serde_json::Value;
 use slog::{Drain, Key, Logger, Never, OwnedKVList, Record, Serializer, o};
+use std::collections::BTreeMap;
 use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Condvar, Mutex};
@@ -105,10 +106,14 @@
 
     /// Asks for a purge; its number.
     fn purges(&self, key: u64) -> u64 {
+        self.appends(Payload::Purge { scope: object(key), tenant: 0, key: format!("k{key}") })
+    }
+
+    /// The next item; its number.
+    fn appends(&self, payload: Payload) -> u64 {
         let mut items = self.items.lock().unwrap();
-        let (number, at_ms) = (items.len() as u64 + 1, unix_ms());
-        let what = Payload::Purge { scope: object(key), tenant: 0, key: format!("k{number}") };
-        items.push(Item { number, term: 1, at_ms, payload: what });
+        let number = items.len() as u64 + 1;
+        items.push(Item { number, term: 1, at_ms: unix_ms(), payload });
         number
     }
 
@@ -187,6 +192,8 @@
     had: AppliedPurges,
     /// Objects of the purges that it was told, on all its connections.
     told: Vec<u64>,
+    /// Endpoints by name, as it was told of them last.
+    endpoints: BTreeMap<String, Value>,
 }
 
 impl Router {
@@ -199,6 +206,7 @@
             lines,
             had: AppliedPurges { retention_ms: KEEPS_MS, ..AppliedPurges::default() },
             told: vec![],
+            endpoints: BTreeMap::new(),
         };
         router.says(b"SUB 0\n");
         router
@@ -227,6 +235,12 @@
             if event.is_number() {
                 continue;
             }
+            if event.pointer("/members/snapshot") == Some(&Value::Bool(true)) {
+                self.endpoints.clear();
+            }
+            for entry in event.pointer("/members/endpoints").and_then(Value::as_array).into_iter().flatten() {
+                self.endpoints.insert(entry["name"].as_str().unwrap().into(), entry.clone());
+            }
             if let Some(key) = event.pointer("/purge/key").and_then(Value::as_str) {
                 self.told.push(u64::from_str_radix(key, 16).unwrap());
             }
@@ -242,6 +256,25 @@
         std::iter::from_fn(|| self.event()).find_map(|event| event.get("purges")?.as_u64())
     }
 
+    /// Takes all up to a number and confirms it, on a new connection where this machine held it up.
+    fn takes(mut self, feed: &Feed, number: u64) -> Router {
+        while self.had.number < number {
+            match self.marks() {
+                Some(has) => self.says(&Ack::Applied(has).encode()),
+                None => {
+                    self = self.calls_again(feed);
+                    self.is_brought_up();
+                }
+            }
+        }
+        self
+    }
+
+    /// Whether it may name a hub as the source of a fill, and since when that runs.
+    fn source(&self, hub: &str) -> Option<u64> {
+        self.endpoints.get(hub).filter(|entry| entry["status"] == "Ready")?["since_ms"].as_u64()
+    }
+
     /// Answers the first event with what it has, and takes the list.
     fn is_brought_up(&mut self) {
         assert_eq!(self.event().expect("the first event")["hears"], true);
@@ -291,6 +324,27 @@
     assert_eq!(router.told[before..], [11, 12]);
 }
 
+/// Guards against routers that fill from a fenced hub: the feed dropped fences, and clients got purged copies.
+#[test]
+fn a_fence_is_confirmed_once_routers_no_longer_name_the_hub_as_a_source() {
+    let service = Service::default();
+    let feed = Feed::of(service.opens());
+    let mut router = Router::calls(&feed);
+    router.is_brought_up();
+    assert_eq!(router.source("w"), Some(0));
+    let fenced = service.appends(Payload::Fenced { member: "w".into() });
+    let router = router.takes(&feed, fenced);
+    assert_eq!(router.source("w"), None);
+    service.confirmed(fenced);
+    let mut late = Router::calls(&feed);
+    late.is_brought_up();
+    assert_eq!((late.had.number, late.source("w")), (fenced, None), "nor does one that calls meanwhile");
+    let before_ms = unix_ms();
+    let freed = service.appends(Payload::Freed { member: "w".into() });
+    let since_ms = router.takes(&feed, freed).source("w").expect("it may name the hub again");
+    assert!(since_ms >= before_ms, "a freed hub is asked like one that has just started");
+}
+
 /// A program from before the word counts by what was written to it: it holds nothing up, and stays.
 #[test]
 fn a_router_that_does_not_know_the_word_is_told_all_and_holds_nothing_up() {
