--- a/crates/hub/src/net/mod.rs
+++ b/crates/hub/src/net/mod.rs
@@ -1,9 +1,9 @@
 //! A hub on sockets: one thread, one task that owns the desk, and tasks for each connection that reach it through one
 //! queue. Nothing here decides.
+mod disk;
 mod down;
 mod follow;
 mod purges;
-mod shelf;
 mod up;
 
 use crate::desk::{Desk, News, Order};
@@ -74,10 +74,10 @@
 async fn run(hub: Hub, log: Logger, stop: Receiver<()>, spawner: Spawner) {
     let Hub { start, listener } = hub;
     let clock = Clock::start();
-    let (shelf_inbox, shelf_news) = async_channel::bounded(start.limits.inbox);
-    let shelf = match &start.storage {
+    let (disk_inbox, disk_news) = async_channel::bounded(start.limits.inbox);
+    let disk = match &start.storage {
         None => None,
-        Some(storage) => match shelf::open(storage, shelf_inbox, log.clone()) {
+        Some(storage) => match disk::open(storage, disk_inbox, log.clone()) {
             Ok(opened) => Some(opened),
             // A hub without its copies is one that starts cold, as it always did.
             Err(why) => {
@@ -95,16 +95,16 @@
     }
     desk.is_at(&start.site, clock.now());
     // Copies that outlived the last start need what was purged meanwhile; a hub without any needs none of it.
-    let past = match &shelf {
+    let past = match &disk {
         Some(opened) if opened.found.copies > 0 => Past::Applied(opened.found.checkpoint.applied_purge),
         _ => Past::Cold,
     };
-    let shelf = shelf.map(|opened| {
+    let disk = disk.map(|opened| {
         let now = clock.now();
         desk.has_kept(opened.metas, opened.found.checkpoint, start.purges.is_empty(), now);
         info!(log, "copies on disk"; "copies" => opened.found.copies, "lost" => opened.found.lost,
             "purges" => opened.found.checkpoint.applied_purge, "took_ms" => opened.took_ms);
-        opened.shelf
+        opened.disk
     });
     if !start.keepers.is_empty() {
         let number = clock.now().micros();
@@ -129,15 +129,15 @@
     let limits = Rc::new(start.limits);
     let (inbox, news) = async_channel::bounded(limits.inbox);
     let inbox_of_audit = inbox.clone();
-    if shelf.is_some() {
+    if disk.is_some() {
         let inbox = inbox.clone();
         spawner.spawn(async move {
-            while let Ok(news) = shelf_news.recv().await {
+            while let Ok(news) = disk_news.recv().await {
                 let _ = inbox.send(news).await;
             }
         });
     }
-    let closing = shelf.clone();
+    let closing = disk.clone();
     let below = down::Below::new(limits.clone(), shared.clone(), inbox.clone(), log.clone());
     let above = up::Above::new(limits.clone(), inbox.clone(), log.clone(), spawner.clone());
     info!(log, "ready"; "hub" => &start.name, "listen" => ?listener.get_ref().local_addr().ok());
@@ -177,9 +177,9 @@
         or(told, anew).await;
         leave(&leaving).await;
     };
-    or(turns(shared, news, below, above, shelf, log.clone()), stopped).await;
-    if let Some(shelf) = closing {
-        shelf.close();
+    or(turns(shared, news, below, above, disk, log.clone()), stopped).await;
+    if let Some(disk) = closing {
+        disk.close();
     }
     info!(log, "ended"; "hub" => &start.name);
 }
@@ -236,7 +236,7 @@
     news: Receiver<News>,
     below: Rc<down::Below>,
     mut above: up::Above,
-    shelf: Option<shelf::Shelf>,
+    disk: Option<disk::DiskHandle>,
     log: Logger,
 ) {
     let mut come = Vec::new();
@@ -270,23 +270,23 @@
                 Order::Chase { to, chase } => above.chase(&to, &chase),
                 Order::Look { ask, to } => above.look(&to, ask),
                 Order::Read { key } => {
-                    if let Some(shelf) = &shelf {
-                        shelf.read(key);
+                    if let Some(disk) = &disk {
+                        disk.read(key);
                     }
                 }
                 Order::Keep { meta, body } => {
-                    if let Some(shelf) = &shelf {
-                        shelf.keep(meta, body);
+                    if let Some(disk) = &disk {
+                        disk.store(meta, body);
                     }
                 }
                 Order::Unkeep { keys } => {
-                    if let Some(shelf) = &shelf {
-                        shelf.unkeep(keys);
+                    if let Some(disk) = &disk {
+                        disk.remove(keys);
                     }
                 }
                 Order::Mark(marks) => {
-                    if let Some(shelf) = &shelf {
-                        shelf.mark(marks);
+                    if let Some(disk) = &disk {
+                        disk.set_checkpoint(marks);
                     }
                 }
                 Order::Started(turn) => {
