Hub's disk: a copy that is purged while it waits to be stored is not stored

Cause: a copy waits for the disk's thread in its turn, a removal went past what waits. So a copy was removed before it was on disk, and stored afterwards. The hub no longer lists it, no later purge names it, and the checkpoint says that the purge was applied. Change: a removal takes what waits to be stored under its key out of the queue. Why it works: what is taken from the queue after a removal was ordered after it, so it was fetched after the purge. Result: a_copy_that_waits_for_the_disk_when_it_is_purged_is_not_found_after_a_restart, and the test by chance beside it, failed before and pass now.

--- a/crates/copies/src/queue.rs
+++ b/crates/copies/src/queue.rs
@@ -5,7 +5,7 @@
 use crate::record::Checkpoint;
 use bytes::Bytes;
 use harestage_segments::Files;
-use std::collections::VecDeque;
+use std::collections::{HashSet, VecDeque};
 
 /// One thing to do with the store.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -69,8 +69,12 @@
         accepted
     }
 
-    /// Removes copies from the store.
+    /// Removes copies from the store, and those that wait to be stored: they would come to disk after their removal.
     pub fn remove(&mut self, keys: Vec<CopyKey>) {
+        let removed: HashSet<CopyKey> = keys.iter().copied().collect();
+        let is_removed =
+            |task: &Task| matches!(task, Task::Store(metadata, _) if removed.contains(&metadata.key));
+        self.tasks.retain(|task| !is_removed(task));
         self.removals.extend(keys);
     }
 
