Hub's disk: a read that failed no longer hides a copy from later purges

A hub strikes a copy from its list when a read fails, and purges take from the disk what is on the list. But the read may have been refused since too much waited for the disk, which had the copy all the same; and where it found nothing, a younger copy could wait to be stored under the same key. Neither was named by any purge after that, and both were there at the next start. Not seen on processes. Change: a read ends with a copy, missing or busy. Busy leaves the list as it is; missing also takes what waits under its key from the disk. Result: what_may_be_on_disk_after_a_read_that_failed_is_still_purged failed in both halves on the code before (with its messages: nothing was removed), and passes now.

--- a/crates/hub/src/desk/above.rs
+++ b/crates/hub/src/desk/above.rs
@@ -2,7 +2,7 @@
 use super::below::give;
 use super::fills::{Fill, Stage};
 use super::ways::STALLED;
-use super::{Desk, Order, PullNo};
+use super::{Desk, Order, PullNo, ReadResult};
 use crate::store::Copy;
 use harestage::state::CacheStatus;
 use harestage::time::{Moment, Span};
@@ -182,11 +182,16 @@
     }
 
     /// A copy has come from the disk, or can't be had: then the fill goes its usual way.
-    pub(super) fn read(&mut self, key: Key, copy: Option<Copy>, now: Moment) {
+    pub(super) fn read(&mut self, key: Key, result: ReadResult, now: Moment) {
         let reading = self.fills.get(key).is_some_and(|fill| matches!(fill.stage, Stage::Reading));
-        if copy.is_none() {
-            self.copies.not_on_disk(key);
-        }
+        let copy = match result {
+            ReadResult::Copy(copy) => Some(copy),
+            ReadResult::Busy => None,
+            ReadResult::Missing => {
+                self.orders.extend(self.copies.not_on_disk(key));
+                None
+            }
+        };
         if !reading {
             return;
         }
--- a/crates/hub/src/desk/copies.rs
+++ b/crates/hub/src/desk/copies.rs
@@ -15,6 +15,7 @@
 
 /// What its disk holds.
 struct OnDisk {
+    /// Whatever the disk may have is listed: purges take from the disk what they find here.
     kept: HashMap<Key, CopyMetadata>,
     /// What was remembered beside the copies last.
     marks: Checkpoint,
@@ -76,9 +77,11 @@
         oldest.is_none_or(young) && self.store.allows(key, meta.group, dated)
     }
 
-    /// Its disk could not give it.
-    pub fn not_on_disk(&mut self, key: Key) {
-        self.disk.iter_mut().for_each(|disk| drop(disk.kept.remove(&key)));
+    /// Its disk does not have it. A younger copy may wait for the disk meanwhile, and goes, too: what is not listed here must
+    /// not be on disk, since no purge would name it.
+    pub fn not_on_disk(&mut self, key: Key) -> Option<Order> {
+        self.disk.as_mut()?.kept.remove(&key);
+        Some(Order::Unkeep { keys: vec![key] })
     }
 
     /// A copy from the disk that may still go out.
--- a/crates/hub/src/desk/messages.rs
+++ b/crates/hub/src/desk/messages.rs
@@ -44,6 +44,16 @@
     pub address: String,
 }
 
+/// How a read from the disk has ended.
+#[derive(Clone, Debug)]
+pub enum ReadResult {
+    Copy(Copy),
+    /// The disk has no such copy, or its bytes are not what they were.
+    Missing,
+    /// Too much waits for the disk. It may have the copy all the same.
+    Busy,
+}
+
 #[derive(Clone, Debug)]
 pub enum News {
     Asked {
@@ -101,10 +111,10 @@
     HasPurges(u64),
     /// The keeper of the audit wants something of it.
     Wanted(Box<KeeperRequest>),
-    /// A copy from its disk; none: it can't be had, or is not what it was.
+    /// A read from its disk has ended.
     Read {
         key: Key,
-        copy: Option<Copy>,
+        result: ReadResult,
     },
     /// The control service speaks, whatever it has said.
     ServiceSpoke,
--- a/crates/hub/src/desk/mod.rs
+++ b/crates/hub/src/desk/mod.rs
@@ -19,7 +19,7 @@
 mod versions;
 mod ways;
 
-pub use messages::{Ask, Bounds, ConnNo, Keeping, News, Order, Peer, PullNo};
+pub use messages::{Ask, Bounds, ConnNo, Keeping, News, Order, Peer, PullNo, ReadResult};
 
 use archive::Archive;
 use audited::Audited;
@@ -140,7 +140,7 @@
                 // Behind all that went because of them.
                 self.remember(now);
             }
-            News::Read { key, copy } => self.read(key, copy, now),
+            News::Read { key, result } => self.read(key, result, now),
             News::Wanted(wanted) => self.wanted(*wanted, now),
             News::ServiceSpoke => self.service_spoke(now),
             News::ComeAgain { pull, after } => {
--- a/crates/hub/src/net/disk.rs
+++ b/crates/hub/src/net/disk.rs
@@ -1,6 +1,6 @@
 //! Copies on disk, on a thread of their own: a fill never waits for a disk. Copies are stored behind it, fewer of them where
 //! the disk can't follow; what was purged is always removed, however long that takes.
-use crate::desk::News;
+use crate::desk::{News, ReadResult};
 use crate::start::StorageStart;
 use crate::store::Copy;
 use async_channel::Sender;
@@ -87,12 +87,12 @@
         self.queue.work.notify_one();
     }
 
-    /// Its bytes come as news; none where they can't be had.
+    /// Its result comes as news.
     pub fn read(&self, key: CopyKey) {
         let queued = self.queue.lock().read(key);
         self.queue.work.notify_one();
         if !queued {
-            let _ = self.inbox.try_send(News::Read { key, copy: None });
+            let _ = self.inbox.try_send(News::Read { key, result: ReadResult::Busy });
         }
     }
 
@@ -156,8 +156,9 @@
 
     fn tell(&self, outcome: Outcome) {
         if let Outcome::Read(key, copy) = outcome {
-            let copy = copy.map(|(meta, body)| copy_of(meta, body));
-            let _ = self.inbox.send_blocking(News::Read { key, copy });
+            let result =
+                copy.map_or(ReadResult::Missing, |(meta, body)| ReadResult::Copy(copy_of(meta, body)));
+            let _ = self.inbox.send_blocking(News::Read { key, result });
         }
     }
 
--- a/crates/hub/tests/keeping.rs
+++ b/crates/hub/tests/keeping.rs
@@ -4,7 +4,7 @@
 use harestage::time::{Moment, Span};
 use harestage_copies::index::CopyMetadata;
 use harestage_copies::record::Checkpoint;
-use harestage_hub::desk::{Bounds, Desk, Keeping, News, Order};
+use harestage_hub::desk::{Bounds, Desk, Keeping, News, Order, ReadResult};
 use harestage_hub::store::Copy;
 use harestage_purge::scope::Scope;
 use harestage_restart::stage::Stage;
@@ -127,7 +127,7 @@
         let dated = Moment::at_micros(at(0).micros() - 10_000_000);
         let (digest, body) = (Bytes::from_static(b"old"), Bytes::from_static(b"body"));
         let copy = Copy { digest, dated, group: Some(object as u32 % 3), body };
-        self.step(vec![News::Read { key: (object, 0), copy: Some(copy) }])
+        self.step(vec![News::Read { key: (object, 0), result: ReadResult::Copy(copy) }])
     }
 
     /// The archive answers a fetch; it says that it is so late.
@@ -150,6 +150,15 @@
     }
 }
 
+/// Objects whose copies go from the disk.
+fn unkept(orders: &[Order]) -> Vec<u64> {
+    let keys = orders.iter().filter_map(|order| match order {
+        Order::Unkeep { keys } => Some(keys.iter().map(|key| key.0)),
+        _ => None,
+    });
+    keys.flatten().collect()
+}
+
 fn word(orders: &[Order]) -> Option<AnswerStatus> {
     orders.iter().find_map(|order| match order {
         Order::Answer { given, .. } => Some(given.status),
@@ -179,16 +188,7 @@
         News::KnowsPurges,
         News::HasPurges(9),
     ]);
-    let unkept: Vec<u64> = bed
-        .orders
-        .iter()
-        .filter_map(|order| match order {
-            Order::Unkeep { keys } => Some(keys.iter().map(|key| key.0)),
-            _ => None,
-        })
-        .flatten()
-        .collect();
-    assert_eq!(unkept, [2, 3, 1, 4, 7], "what goes from the disk");
+    assert_eq!(unkept(&bed.orders), [2, 3, 1, 4, 7], "what goes from the disk");
     assert!(bed.orders.iter().any(|order| matches!(order, Order::Mark(marks) if marks.applied_purge == 9)));
     bed.run(200);
     assert_eq!(bed.desk.start().stage(), Stage::CopiesOnly);
@@ -218,6 +218,23 @@
     ));
 }
 
+/// Guards against a purged copy that comes back at the next start: a read that failed struck it from the hub's list while the
+/// disk had it, or was about to have a younger one, so that no purge took it from there.
+#[test]
+fn what_may_be_on_disk_after_a_read_that_failed_is_still_purged() {
+    let mut bed = Bed::new(true);
+    bed.ready();
+    bed.run(300);
+    assert!(reads(&bed.ask(5, "clip", None)));
+    bed.step(vec![News::Read { key: (5, 0), result: ReadResult::Busy }]);
+    assert!(reads(&bed.ask(6, "clip", None)));
+    let orders = bed.step(vec![News::Read { key: (6, 0), result: ReadResult::Missing }]);
+    assert_eq!(unkept(&orders), [6], "what waits for the disk under its key");
+    let purge = |object| Scope::Object(format!("{object:016x}")).compile().unwrap();
+    let orders = bed.step(vec![News::Covered { scope: Box::new(purge(5)), at: at(bed.ms) }]);
+    assert_eq!(unkept(&orders), [5]);
+}
+
 #[test]
 fn age_counts_only_once_a_fetch_has_shown_the_archives_time() {
     let mut bed = Bed::new(true);
