Hub's disk: a copy that is not stored leaves no older one with its key on disk

Where too much waited, or a copy did not fit, it was left out, and the older copy with its key stayed on disk. The hub's list had the younger one, so a purge whose moment was between the two took nothing from the disk, and the next start found the older one. Change: a store that is refused, in the queue or for want of room, removes what the disk has under that key. Result: a_copy_that_is_not_stored_leaves_no_older_one_behind failed before (both older copies were found after a restart), and passes now.

--- a/crates/copies/src/disk.rs
+++ b/crates/copies/src/disk.rs
@@ -178,10 +178,12 @@
     }
 
     /// Adds a copy; it is durable after the next flush. False if it does not fit because no copies of its rank or lower can
-    /// make room.
+    /// make room. An older copy with its key is removed either way.
     pub fn put(&mut self, metadata: CopyMetadata, body: &[u8]) -> Result<bool, CopiesError> {
-        let Ok(length) = u32::try_from(body.len()) else { return Ok(false) };
-        let Some(evicted) = self.copies.evictions_for(metadata.key, metadata.rank, length) else {
+        let fits = |length| self.copies.evictions_for(metadata.key, metadata.rank, length);
+        let length = u32::try_from(body.len()).ok();
+        let Some((length, evicted)) = length.and_then(|length| Some((length, fits(length)?))) else {
+            self.remove(metadata.key);
             return Ok(false);
         };
         evicted.into_iter().for_each(|key| self.remove(key));
--- a/crates/copies/src/queue.rs
+++ b/crates/copies/src/queue.rs
@@ -51,9 +51,14 @@
         DiskQueue { tasks, max_tasks, removals: Vec::new(), checkpoint: None, is_closed: false }
     }
 
-    /// Queues a copy to be stored. False if too many tasks wait: it is not stored then.
+    /// Queues a copy to be stored. False if too many tasks wait: then neither it nor an older one with its key is stored.
     pub fn store(&mut self, metadata: CopyMetadata, body: Bytes) -> bool {
-        self.push(Task::Store(metadata, body))
+        let key = metadata.key;
+        let accepted = self.push(Task::Store(metadata, body));
+        if !accepted {
+            self.remove(vec![key]);
+        }
+        accepted
     }
 
     /// Queues a read. False if too many tasks wait.
--- a/crates/copies/tests/queue.rs
+++ b/crates/copies/tests/queue.rs
@@ -87,3 +87,20 @@
         assert_eq!(restart(queue, store).0, expected, "seed {seed}");
     }
 }
+
+/// Guards against a purged copy that comes back at the next start: the hub knew of a younger one only, which was not stored.
+#[test]
+fn a_copy_that_is_not_stored_leaves_no_older_one_behind() {
+    let (mut queue, mut store) = (DiskQueue::new(1), open());
+    let (refused, too_large, other) = ((1, 0), (2, 0), (3, 0));
+    for key in [refused, too_large] {
+        assert!(queue.store(metadata(key, 1), body(1)));
+        assert!(step(&mut queue, &mut store));
+    }
+    assert!(queue.store(metadata(other, 1), body(1)));
+    assert!(!queue.store(metadata(refused, 2), body(2)), "too much waits");
+    while step(&mut queue, &mut store) {}
+    let larger_than_the_disk = Bytes::from(vec![0; CAPACITY as usize + 1]);
+    assert!(queue.store(metadata(too_large, 2), larger_than_the_disk));
+    assert_eq!(restart(queue, store).0, BTreeMap::from([(other, 1)]));
+}
