Hub's disk: a disk that has failed collects nothing more in memory

Cause: found by reading beside the faults before. After a failed write nothing is flushed any more, but copies to be kept were still appended to the buffer of the next flush, and removals and checkpoints to its records: memory without a bound on a hub whose disk is full. Not seen on processes. Change: a store is refused once the disk has failed, and records are not collected. The hub goes on by memory, and its log says so once, as before. Result: a_disk_that_has_failed_takes_no_more_copies failed before (the copy was accepted) and passes now.

--- a/crates/copies/src/disk.rs
+++ b/crates/copies/src/disk.rs
@@ -180,6 +180,9 @@
     /// Adds a copy; it is durable after the next flush. False if it does not fit because no copies of its rank or lower can
     /// make room. An older copy with its key is removed either way.
     pub fn put(&mut self, metadata: CopyMetadata, body: &[u8]) -> Result<bool, CopiesError> {
+        if self.failed {
+            return Err(CopiesError::Failed);
+        }
         let fits = |length| self.copies.evictions_for(metadata.key, metadata.rank, length);
         let length = u32::try_from(body.len()).ok();
         let Some((length, evicted)) = length.and_then(|length| Some((length, fits(length)?))) else {
@@ -203,13 +206,20 @@
         self.buffer.extend_from_slice(body);
         self.copies.file_grew(self.file, body.len() as u64);
         self.copies.insert(metadata.clone(), location);
-        self.pending.push(Record::Put(metadata, location));
+        self.enqueue(Record::Put(metadata, location));
     }
 
     /// Removes a copy. After the next flush it is not recovered any more.
     pub fn remove(&mut self, key: CopyKey) {
         if self.copies.remove(key) {
-            self.pending.push(Record::Removed(key));
+            self.enqueue(Record::Removed(key));
+        }
+    }
+
+    /// Adds a record to the next flush; there is none once the disk has failed.
+    fn enqueue(&mut self, record: Record) {
+        if !self.failed {
+            self.pending.push(record);
         }
     }
 
@@ -217,7 +227,7 @@
     pub fn set_checkpoint(&mut self, checkpoint: Checkpoint) {
         if checkpoint != self.checkpoint {
             self.checkpoint = checkpoint;
-            self.pending.push(Record::Checkpoint(checkpoint));
+            self.enqueue(Record::Checkpoint(checkpoint));
         }
     }
 
--- a/crates/copies/tests/crashes.rs
+++ b/crates/copies/tests/crashes.rs
@@ -207,6 +207,18 @@
     assert!(failures >= 5, "{failures} syncs failed");
 }
 
+/// Guards against memory without a bound: copies for a disk that had failed were collected for a flush that never came.
+#[test]
+fn a_disk_that_has_failed_takes_no_more_copies() {
+    let folders = (SimulatedDisk::new().with_free_bytes(100), SimulatedDisk::new());
+    let (mut store, _) = DiskStore::open(folders.0, folders.1, 50_000).unwrap();
+    store.put(metadata((1, 0), 1, 1), &[1; 200]).unwrap();
+    assert!(store.flush().is_err(), "the disk is full");
+    let put = store.put(metadata((2, 0), 1, 1), &[2; 20]);
+    assert!(matches!(put, Err(CopiesError::Failed)), "{put:?}");
+    assert!(store.copies().get((2, 0)).is_none());
+}
+
 #[test]
 fn the_lowest_rank_and_least_recently_used_is_evicted_first_and_files_are_compacted() {
     let (mut store, _) = DiskStore::open(SimulatedDisk::new(), SimulatedDisk::new(), 20_000).unwrap();
