Hub: a fenced hub that has left the shape is asked for nothing

Cause: found by reading, on the path of the fence that routers did not keep. A hub looked fenced names up in its newest version. Change: fenced names are looked up in all versions that are kept, when these or the fences change.

--- a/crates/hub/src/desk/archive.rs
+++ b/crates/hub/src/desk/archive.rs
@@ -35,8 +35,8 @@
         let right = match fill.forced || !self.archive.hands_over {
             true => FetchRight::Own,
             false => {
-                let fenced = self.sources.fenced(shape);
-                let asked: Vec<NodeIndex> = fill.asked.iter().copied().chain(fenced).collect();
+                let fenced = self.sources.fenced_hubs();
+                let asked: Vec<NodeIndex> = fill.asked.iter().chain(fenced).copied().collect();
                 self.archive.shield.check(&self.versions, me, key, &asked, &silent, now)
             }
         };
--- a/crates/hub/src/desk/versions.rs
+++ b/crates/hub/src/desk/versions.rs
@@ -29,6 +29,7 @@
         let (archive, tops) = (shape.archive(), shape.top_hubs().len());
         self.archive.share.configure(archive.capacity * archive.stops_at, tops, self.alone);
         self.versions.insert(shape, now);
+        self.sources.find_fenced(&self.versions);
         self.start.hear(StartEvent::ShapeKnown);
         // What rests may have another way now.
         let resting = self.fills.each(|fill| matches!(fill.stage, Stage::Resting).then_some(()));
--- a/crates/hub/src/desk/ways.rs
+++ b/crates/hub/src/desk/ways.rs
@@ -5,7 +5,7 @@
 use harestage::time::{Moment, Span};
 use harestage_shape::fetch_rights::REPLY_TIMEOUT;
 use harestage_shape::route::{self, NextHop};
-use harestage_shape::topology::{Node, NodeIndex, Shape};
+use harestage_shape::topology::{Node, NodeIndex, Shape, Versions};
 use harestage_shape::wait_cycles::{Action, Key};
 use harestage_wire::peer::HubRoute;
 use std::collections::{BTreeMap, BTreeSet};
@@ -19,8 +19,9 @@
 #[derive(Default)]
 pub(super) struct Sources {
     aside: BTreeMap<NodeIndex, Moment>,
-    /// Hubs that lack a purge.
+    /// Hubs that lack a purge, by name and as the versions have them.
     fenced: BTreeSet<String>,
+    fenced_hubs: BTreeSet<NodeIndex>,
     /// It follows a service of purges, and does not know yet from whom it may take copies.
     pub unknowing: bool,
 }
@@ -34,8 +35,17 @@
         self.aside.retain(|_, until| *until > now);
     }
 
-    pub fn fenced(&self, shape: &Shape) -> impl Iterator<Item = NodeIndex> {
-        self.fenced.iter().filter_map(|name| shape.find(name))
+    /// Finds the fenced hubs in all versions that are kept: one that has left the shape may still be asked for what it was
+    /// the home of. To be called when a version or the fences have changed.
+    pub fn find_fenced(&mut self, versions: &Versions) {
+        let of_version = |shape: &Shape| -> Vec<NodeIndex> {
+            self.fenced.iter().filter_map(|name| shape.find(name)).collect()
+        };
+        self.fenced_hubs = versions.all().flat_map(of_version).collect();
+    }
+
+    pub fn fenced_hubs(&self) -> &BTreeSet<NodeIndex> {
+        &self.fenced_hubs
     }
 
     fn passed_by(&self, now: Moment) -> impl Iterator<Item = NodeIndex> {
@@ -52,11 +62,11 @@
     /// Hubs that lack a purge: what waits for them goes elsewhere, since what they give may be older.
     pub(super) fn fence(&mut self, fenced: BTreeSet<String>, now: Moment) {
         self.sources.fenced = fenced;
-        let fenced = &self.sources.fenced;
+        self.sources.find_fenced(&self.versions);
+        let fenced = self.sources.fenced_hubs();
         let waits_there = |fill: &Fill| match fill.stage {
             Stage::Asking { pull, whom: place } | Stage::Waiting { pull, on: place } => {
-                let named = self.versions.get(fill.version).is_some_and(|s| fenced.contains(s.name(place)));
-                named.then_some((pull, place))
+                fenced.contains(&place).then_some((pull, place))
             }
             _ => None,
         };
@@ -100,7 +110,7 @@
         let me = self.me(&shape);
         let mut avoid = fill.avoid.clone();
         avoid.extend(self.sources.passed_by(now));
-        avoid.extend(self.sources.fenced(&shape));
+        avoid.extend(self.sources.fenced_hubs());
         avoid.extend(self.sites.silent_hubs(&shape));
         let next =
             if fill.forced { Some(NextHop::Archive) } else { route::next_hop(&shape, me, key.0, &avoid) };
--- a/crates/hub/tests/desks.rs
+++ b/crates/hub/tests/desks.rs
@@ -5,12 +5,13 @@
 use harestage::time::{Moment, Span};
 use harestage_hub::desk::{Ask, Bounds, Desk, Keeping, News, Order};
 use harestage_hub::store::Named;
+use harestage_purge::scope::CompiledScope;
 use harestage_shape::archive_share::RateShare;
 use harestage_shape::config::{ArchiveConfig, HubConfig, ShapeConfig};
 use harestage_shape::wait_cycles::WaitCycle;
 use harestage_wire::fields::HexId;
 use harestage_wire::node::{Answer, AnswerStatus, CopyTag, IncomingRequest, OutgoingAnswer};
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::hash::{DefaultHasher, Hash, Hasher};
 
 const CONTENT: &[u8] = b"clip";
@@ -562,3 +563,32 @@
     let full = net.answers.iter().filter(|(_, given)| given.status == AnswerStatus::Busy).count();
     assert_eq!((full, net.desks["a"].fills()), (200, 1_000));
 }
+
+/// A purge that `behind` does not hear of: it is fenced for that. Its moment.
+fn purge_behind(net: &mut Net, knows: &str, behind: &str) -> u64 {
+    let (scope, at) = (Box::new(CompiledScope::Everything), net.at());
+    let fenced = BTreeSet::from([behind.to_string()]);
+    net.step(knows, vec![News::Covered { scope, at }, News::Fenced(fenced)]);
+    at.micros()
+}
+
+/// Guards against a purged copy from a fenced hub that staff took out of the shape: former homes are asked for a while.
+#[test]
+fn a_fenced_home_that_left_the_shape_gives_nothing() {
+    let mut net = Net::new(&["a", "b"], 1);
+    ["a", "b"].into_iter().for_each(|name| net.tell(name, &tops(1, &["a", "b"])));
+    (0..40).for_each(|object| net.ask("a", object, object + 1));
+    net.run(500);
+    let purged_at = purge_behind(&mut net, "b", "a");
+    // Past the time for which hubs remember a purge; the next one makes them forget it.
+    net.run(130_000);
+    let (scope, at) = (Box::new(CompiledScope::Object(1_000)), net.at());
+    net.step("b", vec![News::Covered { scope, at }]);
+    net.tell("b", &tops(2, &["b"]));
+    (0..40).for_each(|object| net.ask("b", object, object + 101));
+    net.run(2_000);
+    let given = net.answers.iter().filter(|(no, given)| *no > 100 && given.status == AnswerStatus::Fulfilled);
+    let dated: Vec<u64> = given.map(|(_, given)| given.copy.as_ref().unwrap().dated_ms * 1_000).collect();
+    let old = dated.iter().filter(|dated| **dated <= purged_at).count();
+    assert_eq!((dated.len(), old), (40, 0));
+}
