Hub: a fenced hub that has the right to fetch is not waited for

Cause: found by reading, on the path of the fence that routers did not keep. A hub that had ceded its right to fetch waited for the copy of the one that has it, without a look at the fences, and took what that one held. Not seen on processes.

--- a/crates/hub/src/desk/archive.rs
+++ b/crates/hub/src/desk/archive.rs
@@ -49,7 +49,9 @@
             }
             FetchRight::Ceded { until } => {
                 let holder = self.archive.shield.holder(key, now).and_then(|name| shape.find(name));
-                let holder = holder.filter(|place| *place != me && !fill.avoid.contains(place));
+                let fenced = self.sources.fenced_hubs();
+                let holder = holder
+                    .filter(|place| *place != me && !fill.avoid.contains(place) && !fenced.contains(place));
                 match holder {
                     Some(holder) => self.wait_on(key, holder, &[], shape, now),
                     None => self.stage(key, Stage::Resting, Some(until), now),
--- a/crates/hub/tests/desks.rs
+++ b/crates/hub/tests/desks.rs
@@ -592,3 +592,24 @@
     let old = dated.iter().filter(|dated| **dated <= purged_at).count();
     assert_eq!((dated.len(), old), (40, 0));
 }
+
+/// Guards against a purged copy from a fenced hub that had been given the right to fetch.
+#[test]
+fn a_fenced_hub_with_the_right_to_fetch_is_not_waited_for() {
+    let mut net = Net::new(&["a", "b"], 1);
+    ["a", "b"].into_iter().for_each(|name| net.tell(name, &tops(1, &["b"])));
+    ["a", "b"].into_iter().for_each(|name| net.tell(name, &tops(2, &["a", "b"])));
+    net.fetch_takes = 900_000;
+    (0..40).for_each(|object| net.ask("a", object, object + 1));
+    net.run(200);
+    let ceded = net.fetches.iter().filter(|(_, _, by)| by == "a").count();
+    assert!(ceded > 5, "the home of {ceded} objects moved to the hub that asks");
+    purge_behind(&mut net, "b", "a");
+    (0..40).for_each(|object| net.ask("b", object, object + 101));
+    for _ in 0..30 {
+        net.run(100);
+        let waits = net.pulls.iter().filter(|((at, _), (by, _))| at == "a" && by == "b").count();
+        assert_eq!(waits, 0, "fills of b that wait for a");
+    }
+    assert!((101..141).all(|no| net.answered_well(no)));
+}
