Branch feed: which hubs routers may fill from stands in a module of its own

Cause: the board held the version, the plan for a lost site, the fences and what was shown beside the purges and the order in which routers are told, in 545 lines. Change: ties.rs has the first four; the board asks it what to show. Behaviour as before. Result: the tests of harestage-branch pass as before.

--- a/crates/branch/src/board.rs
+++ b/crates/branch/src/board.rs
@@ -6,15 +6,14 @@
 //!
 //! Purges have numbers of their own, those of the service's one order. By them a router that calls again says what it has
 //! ([`Had`]), whichever feed of the service told it.
+use crate::ties::{Shown, Ties};
 use harestage::time::{Moment, Span};
 use harestage_purge::scope::CompiledScope;
 use harestage_shape::config::ShapeConfig;
 use harestage_shape::feed;
 use harestage_shape::messages::FallbackPlan;
-use harestage_shape::topology::{NodeIndex, Shape};
-use harestage_sites::failure_detector::SILENCE_THRESHOLD;
-use harestage_sites::fallback::{FallbackChange, FallbackMode};
-use harestage_sites::liveness::SiteObservation;
+use harestage_shape::topology::Shape;
+use harestage_sites::fallback::FallbackChange;
 use harestage_wire::feed::AppliedPurges;
 use std::collections::{BTreeMap, BTreeSet, HashSet, VecDeque};
 use std::rc::Rc;
@@ -36,8 +35,6 @@
 const CLOCKS_DIFFER: Span = Span::millis(5_000);
 /// Purges of groups, of 65,536 at most, are looked through for old ones so often.
 const GROUPS_TIDIED_EVERY: Span = Span::millis(60_000);
-/// Kept a while for its words only.
-const SHAPES: usize = 3;
 
 /// One thing that routers are told.
 #[derive(Clone, Debug)]
@@ -93,16 +90,9 @@
 
 /// All that a branch's routers go by.
 pub struct Board {
-    branch: String,
+    ties: Ties,
     /// Groups that the archive knows, from 0 on: what can't be told otherwise is told of each of them.
     groups: u32,
-    version: Option<Shape>,
-    standby: FallbackMode,
-    /// Members that lack a purge: no router may name one as the source of a fill.
-    fenced: BTreeSet<String>,
-    /// When hubs of the version were freed last, Unix milliseconds. Routers ask them like hubs that started then.
-    freed_at_ms: BTreeMap<String, u64>,
-    shown: VecDeque<Rc<Shape>>,
     /// In the order of their numbers, so that the oldest go first and what follows a number is found at once.
     live: VecDeque<Live>,
     purged_groups: BTreeMap<u32, OfGroup>,
@@ -126,13 +116,8 @@
     /// `waits`: there is a service of purges, and nobody is told anything before all that live are known.
     pub fn new(branch: &str, groups: u32, waits: bool, now: Moment) -> Board {
         Board {
-            branch: branch.into(),
+            ties: Ties::new(branch, now),
             groups,
-            version: None,
-            standby: FallbackMode::new(now),
-            fenced: BTreeSet::new(),
-            freed_at_ms: BTreeMap::new(),
-            shown: VecDeque::new(),
             live: VecDeque::new(),
             purged_groups: BTreeMap::new(),
             groups_tidied: now,
@@ -156,25 +141,15 @@
         now: Moment,
     ) -> Option<FallbackChange> {
         let turn = self.service_spoke(now);
-        let shape = match &self.version {
-            Some(version) if form.version <= version.version() => return turn,
-            Some(version) => version.successor(form),
-            None => Shape::from_config(form),
-        };
-        let Ok(shape) = shape else { return turn };
-        if shape.find(&self.branch).is_none() {
-            return turn;
+        if self.ties.set_version(form, plans, now) {
+            self.show();
         }
-        self.standby.set_version(shape.version(), shape.sites().into_iter(), plans, now);
-        self.freed_at_ms.retain(|hub, _| shape.find(hub).is_some());
-        self.version = Some(shape);
-        self.show();
         turn
     }
 
     /// The control service has said something, whatever it was.
     pub fn service_spoke(&mut self, now: Moment) -> Option<FallbackChange> {
-        let turn = self.standby.on_service_message(now);
+        let turn = self.ties.on_service_message(now);
         if turn.is_some() {
             self.show();
         }
@@ -183,19 +158,7 @@
 
     /// A hub has answered, and named the sites from which it hears nothing.
     pub fn seen(&mut self, hub: &str, unseen: &[String], leaving: bool, now: Moment) {
-        let Some(shape) = &self.version else { return };
-        let Some(own) = shape.find(hub).and_then(|at| shape.node(at)?.as_hub()) else { return };
-        let site = own.site.clone();
-        let others = shape.sites().into_iter().filter(|other| *other != site);
-        let sightings = others.map(|other| SiteObservation {
-            site: other.into(),
-            unanswered: if unseen.iter().any(|name| name == other) { SILENCE_THRESHOLD } else { 0 },
-            known: true,
-            slowness: 1.0,
-            leaving,
-        });
-        let sightings = sightings.collect();
-        self.standby.on_observations(hub, &site, sightings, now);
+        self.ties.on_observation(hub, unseen, leaving, now);
     }
 
     /// To be called some times a second.
@@ -209,70 +172,14 @@
             self.groups_tidied = now;
             self.purged_groups.retain(|_, known| known.at_ms >= oldest_ms);
         }
-        let turn = self.standby.tick(now)?;
+        let turn = self.ties.tick(now)?;
         self.show();
         Some(turn)
     }
 
-    /// The ties while a site is lost and no service speaks: those of the plan; and where nobody made one, those that are
-    /// left.
-    fn fallback_ties(&self, shape: &Shape) -> Option<Vec<NodeIndex>> {
-        if self.standby.excluded_sites().is_empty() {
-            return None;
-        }
-        let lost = |at: &NodeIndex| {
-            let hub = shape.node(*at).and_then(|place| place.as_hub());
-            hub.is_some_and(|hub| self.standby.excluded_sites().contains(&hub.site))
-        };
-        let of_plan = self.standby.upstreams().map(|ties| {
-            let found = ties.iter().filter_map(|tie| shape.find(tie));
-            found.filter(|at| !lost(at)).collect::<Vec<_>>()
-        });
-        let own = || {
-            let own = shape.find(&self.branch).map(|at| shape.upstreams(at).to_vec()).unwrap_or_default();
-            own.into_iter().filter(|at| !lost(at)).collect::<Vec<_>>()
-        };
-        Some(of_plan.filter(|ties| !ties.is_empty()).unwrap_or_else(own)).filter(|ties| !ties.is_empty())
-    }
-
-    /// The hubs that routers may name as sources: the ties in use without those that are fenced. There may be none left:
-    /// fills then come from the archive, which is never older than a purge.
-    fn ties(&self, version: &Shape) -> Vec<NodeIndex> {
-        let own =
-            || version.find(&self.branch).map_or(Vec::new(), |branch| version.upstreams(branch).to_vec());
-        let mut ties = self.fallback_ties(version).unwrap_or_else(own);
-        ties.retain(|hub| !self.fenced.contains(version.name(*hub)));
-        ties
-    }
-
-    /// The version as routers are to see it.
-    fn visible_shape(&self, version: &Shape) -> Shape {
-        let Some(branch) = version.find(&self.branch) else { return version.clone() };
-        let ties = self.ties(version);
-        let visible = match ties == version.upstreams(branch) {
-            true => version.clone(),
-            false => version.with_upstreams(version.version(), [(branch, ties.as_slice())]),
-        };
-        self.with_slow_starts(visible)
-    }
-
-    /// A hub that was freed has lost what was purged, and its load comes back at once: it counts as started then.
-    fn with_slow_starts(&self, shape: Shape) -> Shape {
-        if self.freed_at_ms.is_empty() {
-            return shape;
-        }
-        let mut config = shape.to_config();
-        for hub in &mut config.hubs {
-            hub.since_ms = hub.since_ms.max(self.freed_at_ms.get(&hub.name).copied().unwrap_or(0));
-        }
-        shape.successor(&config).unwrap_or(shape)
-    }
-
     /// Shows the ties again if fences have changed them. Returns whether they have.
     fn show_fences(&mut self) -> bool {
-        let (Some(version), Some(shown)) = (&self.version, self.shown.back()) else { return false };
-        let Some(branch) = version.find(&self.branch) else { return false };
-        let changed = self.ties(version) != shown.upstreams(branch);
+        let changed = self.ties.have_changed();
         if changed {
             self.show();
         }
@@ -280,13 +187,7 @@
     }
 
     fn show(&mut self) {
-        let Some(version) = &self.version else { return };
-        let now = Rc::new(self.visible_shape(version));
-        let (before, long_before) = (self.shown.back().cloned(), self.shown.iter().rev().nth(1).cloned());
-        self.shown.push_back(now.clone());
-        while self.shown.len() > SHAPES {
-            self.shown.pop_front();
-        }
+        let Some(Shown { long_before, before, now }) = self.ties.show() else { return };
         self.say(Saying::Ties { long_before, before, now });
         if self.shown_plan != self.plan() {
             self.shown_plan = self.plan();
@@ -296,7 +197,7 @@
 
     /// The sites that it goes without, for marks.
     pub fn plan(&self) -> String {
-        self.standby.excluded_sites().iter().cloned().collect::<Vec<_>>().join("+")
+        self.ties.excluded_sites()
     }
 
     fn say_marks(&mut self) {
@@ -324,17 +225,12 @@
     /// Which members are fenced from now on. Routers are told with the purges that are taken next, before the marks that
     /// they confirm: a fence holds once they have.
     pub fn set_fenced(&mut self, fenced: BTreeSet<String>, now: Moment) {
-        let known = |name: &&String| self.version.as_ref().is_some_and(|shape| shape.find(name).is_some());
-        let freed: Vec<String> = self.fenced.difference(&fenced).filter(known).cloned().collect();
-        self.freed_at_ms.extend(freed.into_iter().map(|name| (name, now.micros() / 1_000)));
-        self.fenced = fenced;
+        self.ties.set_fenced(fenced, now);
     }
 
     /// Hubs that no router may name as a source, of those that the branch is tied to.
     pub fn fenced_ties(&self) -> Vec<&str> {
-        let Some(version) = &self.version else { return Vec::new() };
-        let ties = version.find(&self.branch).map_or(&[][..], |branch| version.upstreams(branch));
-        ties.iter().map(|hub| version.name(*hub)).filter(|name| self.fenced.contains(*name)).collect()
+        self.ties.fenced()
     }
 
     /// Purges of the service in their order; `has` is the number up to which there is none beside them and those before.
@@ -442,7 +338,7 @@
 
     /// Why nobody is told anything yet.
     pub fn waits_for(&self) -> Option<&'static str> {
-        match (&self.version, self.knows_purges) {
+        match (self.ties.version(), self.knows_purges) {
             (None, _) => Some("no version was told yet"),
             (_, false) => Some("the purges that live are not known yet"),
             _ => None,
@@ -477,7 +373,7 @@
         if self.waits_for().is_some() {
             return None;
         }
-        let now = self.shown.back()?.clone();
+        let now = self.ties.shown()?.clone();
         let mut sayings = vec![Saying::Ties { long_before: None, before: None, now }];
         let lacks = |number: u64, at_ms: u64| after.is_none_or(|after| number > after) && at_ms >= oldest_ms;
         let skipped = after.map_or(0, |after| self.live.partition_point(|live| live.number <= after));
@@ -516,15 +412,15 @@
     }
 
     pub fn branch(&self) -> &str {
-        &self.branch
+        self.ties.branch()
     }
 
     /// The version in service, as far as it was told.
     pub fn version(&self) -> u64 {
-        self.version.as_ref().map_or(0, Shape::version)
+        self.ties.version().map_or(0, Shape::version)
     }
 
     pub fn shape(&self) -> Option<&Shape> {
-        self.version.as_ref()
+        self.ties.version()
     }
 }
