--- /dev/null
+++ b/crates/router/tests/memory.rs
@@ -0,0 +1,75 @@
+//! The resident memory of a router with the least memory that it is run with, among hundreds of clients that
+//! misbehave together.
+mod fixture;
+use fixture::*;
+use harestage_wire::resp::LINE_END;
+use std::io::Write;
+use std::net::TcpStream;
+use std::time::{Duration, Instant};
+
+const MEMORY_MB: u64 = 32;
+/// Resident memory over nine tenths of the limit counts as too much.
+const MAX_RESIDENT_BYTES: usize = (MEMORY_MB << 20) as usize * 9 / 10;
+const CROWD: u64 = 600;
+const MAX_BODY_BYTES: usize = 48_000;
+/// How long a crowd stays.
+const STAY: Duration = Duration::from_millis(1_500);
+/// Within this time others get their answers.
+const IN_TIME: Duration = Duration::from_secs(1);
+
+fn good(_: usize, _: &str) -> Reply {
+    Reply::Answer("ACK", "res=HIT,first=0", b"content".to_vec())
+}
+
+fn open(caches: usize, reply: impl Fn(usize, &str) -> Reply + Send + Sync + 'static) -> Fixture {
+    Fixture::open_with_memory(caches, None, MEMORY_MB, reply)
+}
+
+fn item(bytes: &[u8]) -> Vec<u8> {
+    [format!("${}\r\n", bytes.len()).as_bytes(), bytes, LINE_END].concat()
+}
+
+/// A download of an object of its own.
+fn request(client: u64, tag: u64, more_fields: &str, body: &[u8]) -> Vec<u8> {
+    let id = client * 100 + tag;
+    let fields = format!("i={id:016x},d=3000,o={id:016x},chunk=0,tag=5{more_fields}");
+    let items = [b"ASK", tag.to_string().as_bytes(), b"filing", fields.as_bytes(), body].map(item);
+    [b"*5\r\n", &items.concat()[..]].concat()
+}
+
+/// Clients that connect, write what `bytes` gives for their number as far as the router takes it, and stay.
+fn crowd(fixture: &Fixture, bytes: impl Fn(u64) -> Vec<u8>) -> Vec<TcpStream> {
+    let connect = |client| {
+        let stream = TcpStream::connect(&fixture.listen).unwrap();
+        stream.set_write_timeout(Some(Duration::from_millis(200))).unwrap();
+        let _ = (&stream).write_all(&bytes(client));
+        stream
+    };
+    (1..=CROWD).map(connect).collect()
+}
+
+/// While the crowd stays, others are answered in time and the memory stays within its limit.
+fn assert_holds(fixture: &Fixture) {
+    let until = Instant::now() + STAY;
+    while Instant::now() < until {
+        let (mut client, begun) = (fixture.client(), Instant::now());
+        client.send(&[b"STATUS", b"1", b""]);
+        assert_eq!(client.next_message().expect("an answer")[1], "GREEN");
+        assert!(begun.elapsed() < IN_TIME, "answered after {:?}", begun.elapsed());
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    let (peak, max) = (fixture.peak_memory() >> 10, MAX_RESIDENT_BYTES >> 10);
+    println!("{peak} kB resident at the most");
+    assert!(peak <= max, "{peak} kB resident of {max}");
+}
+
+#[test]
+fn half_read_requests_of_a_crowd_stay_within_the_memory_limit() {
+    let fixture = open(2, good);
+    let _crowd = crowd(&fixture, |client| {
+        let mut request = request(client, 1, "", &[b'x'; MAX_BODY_BYTES]);
+        request.truncate(request.len() - 1_000);
+        request
+    });
+    assert_holds(&fixture);
+}
