Router: half-read requests are counted, and the oldest are discarded at a limit

Cause: memory was counted from a request's last byte on. What had come of one that was not whole was counted nowhere: 16 kB of read buffer for each connection, and up to eight items of 48,000 bytes each (crates/wire/src/resp.rs, read in crates/router/src/transport/client.rs). 640 connections could hold 250 MB.

Change: decoders count what they hold, and long items stay counted until their last slice is dropped. Past five 32nds of the memory the request that has been arriving for longest is discarded: its bytes are read and dropped, nothing is closed, and it is throttled once it is whole, so that nothing is lost.

--- a/crates/router/src/program/limits.rs
+++ b/crates/router/src/program/limits.rs
@@ -25,6 +25,9 @@
     /// than an equal share are admitted.
     pub downloads: usize,
     pub held_bytes: usize,
+    /// Memory of all requests, half-read ones included. At the limit half-read requests are discarded, and
+    /// further downloads are throttled.
+    pub input_bytes: usize,
     /// Bytes that one client's downloads may hold; its further downloads are throttled.
     pub client_held_bytes: usize,
     /// Bytes that a download holds beside its body.
@@ -122,6 +125,7 @@
             node_connections: (connections / 7 * 2).max(1),
             downloads: outside.max_held_downloads.max(1),
             held_bytes: memory / 8,
+            input_bytes: memory / 32 * 5,
             client_held_bytes: memory / 64,
             download_bytes: 1_500,
             client_open: MAX_OPEN_PER_CONNECTION,
--- a/crates/router/src/transport/client.rs
+++ b/crates/router/src/transport/client.rs
@@ -12,7 +12,8 @@
 use harestage_sockets::clock::Clock;
 use harestage_wire::Packet;
 use harestage_wire::client::{self, FromClient, ToClient};
-use harestage_wire::resp::{Bounds, Decoder};
+use harestage_wire::memory::MemoryCounter;
+use harestage_wire::resp::{Bounds, DecodeError, Decoder};
 use slog::{Logger, debug, info, warn};
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, VecDeque};
@@ -52,6 +53,7 @@
 
 /// One client connection, as seen by other tasks than its own.
 struct Connection {
+    decoder: RefCell<Decoder>,
     queue: RefCell<VecDeque<Packet>>,
     /// Open downloads by tag, with the bytes that each holds.
     open: RefCell<HashMap<u64, usize>>,
@@ -63,6 +65,8 @@
     input_state: Cell<InputState>,
     /// When the state last changed.
     state_since: Cell<Instant>,
+    /// Since when part of a message has been waiting for the rest.
+    message_since: Cell<Option<Instant>>,
     ending: Cell<Option<Ending>>,
     wake: Event,
     /// No download is open any more, or everything is written: tasks that want to close the connection check
@@ -78,6 +82,25 @@
         self.state_since.set(Instant::now());
     }
 
+    /// The next message that has arrived whole.
+    fn next_message(&self) -> Result<Option<FromClient>, DecodeError> {
+        let mut decoder = self.decoder.borrow_mut();
+        let Some(items) = decoder.next_message()? else { return Ok(None) };
+        self.message_since.set(None);
+        let decode = if decoder.was_discarded() { client::decode_discarded } else { client::decode };
+        decode(items).map(Some)
+    }
+
+    /// Notes whether the client has sent a part of a message.
+    fn note_partial_message(&self) {
+        let is_mid_message = self.decoder.borrow().is_mid_message();
+        if is_mid_message && self.input_state.get() == InputState::Idle {
+            self.set_input_state(InputState::MidMessage);
+        }
+        let since = self.message_since.get().unwrap_or_else(Instant::now);
+        self.message_since.set(is_mid_message.then_some(since));
+    }
+
     fn has_nothing_open(&self) -> bool {
         self.unsent.get() == 0 && self.open.borrow().is_empty()
     }
@@ -95,11 +118,11 @@
     }
 
     /// The reason to close now, if the connection may be closed.
-    fn may_close(&self, is_mid_message: bool) -> Option<&'static str> {
+    fn may_close(&self) -> Option<&'static str> {
         match self.ending.get()? {
             _ if !self.has_nothing_open() => None,
             Ending::Cut(why) | Ending::Close(why) => Some(why),
-            Ending::CloseBetweenMessages(why) => (!is_mid_message).then_some(why),
+            Ending::CloseBetweenMessages(why) => (!self.decoder.borrow().is_mid_message()).then_some(why),
         }
     }
 
@@ -143,6 +166,8 @@
     open: Cell<usize>,
     held: Cell<usize>,
     unsent: Cell<usize>,
+    /// Memory of all requests, from their first byte until the routing task has dropped them.
+    input_memory: MemoryCounter,
     /// Log lines about clients since the last sweep, including suppressed ones.
     complaints: Cell<u64>,
     last_id: Cell<ClientId>,
@@ -166,6 +191,7 @@
             open: Cell::new(0),
             held: Cell::new(0),
             unsent: Cell::new(0),
+            input_memory: MemoryCounter::default(),
             complaints: Cell::new(0),
             last_id: Cell::new(0),
             ready: Cell::new(false),
@@ -300,19 +326,53 @@
 
     /// Admission control by the downloads and bytes held for this client and for all. A client that holds no
     /// more than an equal share is admitted while the total is over its limit: a few that send much must not
-    /// shut out all others.
+    /// shut out all others. None is admitted while the memory for requests is used up.
     fn is_full(&self, connection: &Connection) -> bool {
         let limits = &self.limits;
         let share = limits.held_bytes / limits.clients;
+        // What has come whole goes before what has not.
+        self.relieve_input_memory();
         self.open.get() >= limits.downloads
             || self.held.get() >= limits.held_bytes && connection.held.get() > share
             || connection.held.get() >= limits.client_held_bytes
             || connection.unsent.get() >= limits.client_unsent_bytes
+            || self.input_memory.used() > limits.input_bytes
+    }
+
+    /// Guards the memory limit against requests that arrive slowly or never whole: those that have been
+    /// arriving for longest are discarded. They are throttled once they are whole.
+    fn relieve_input_memory(&self) {
+        while self.input_memory.used() > self.limits.input_bytes {
+            let connections = self.connections.borrow();
+            let partial = connections.iter().filter_map(|(id, connection)| {
+                let holds_memory = connection.decoder.borrow().can_discard();
+                Some((connection.message_since.get().filter(|_| holds_memory)?, *id, connection))
+            });
+            let Some((_, id, connection)) = partial.min_by_key(|(since, id, _)| (*since, *id)) else {
+                return;
+            };
+            connection.decoder.borrow_mut().discard_message();
+            self.log_complaint(id, "client message discarded", "the memory for requests is used up");
+        }
+    }
+
+    /// Refuses a download that was not passed on.
+    fn throttle(&self, connection: &Connection, tag: u64) {
+        let retry_after_ms = self.limits.full_retry_after.as_millis() as u64;
+        self.queue(connection, client::encode_answer(tag, &ToClient::Throttled { retry_after_ms }));
     }
 
     fn register(&self) -> (ClientId, Rc<Connection>) {
         let now = Instant::now();
+        let limits = &self.limits;
+        let bounds = Bounds {
+            max_items: limits.client_items,
+            max_item_bytes: limits.client_item_bytes,
+            initial_item_capacity: limits.client_item_room,
+        };
+        let decoder = Decoder::with_counter(bounds, limits.read_buffer, self.input_memory.clone());
         let connection = Rc::new(Connection {
+            decoder: RefCell::new(decoder),
             queue: RefCell::default(),
             open: RefCell::default(),
             held: Cell::new(0),
@@ -320,6 +380,7 @@
             last_write_at: Cell::new(now),
             input_state: Cell::new(InputState::New),
             state_since: Cell::new(now),
+            message_since: Cell::new(None),
             ending: Cell::new(self.is_shutting_down.get().then_some(SHUTDOWN)),
             wake: Event::new(),
             idle: Event::new(),
@@ -473,30 +534,18 @@
     source: &mut SocketReader<'_>,
 ) -> ReadEnd {
     let limits = &clients.limits;
-    let (items, item_bytes) = (limits.client_items, limits.client_item_bytes);
-    let bounds = Bounds {
-        max_items: items,
-        max_item_bytes: item_bytes,
-        initial_item_capacity: limits.client_item_room,
-    };
-    let mut decoder = Decoder::new(bounds, limits.read_buffer);
     let mut invalid_messages = 0;
     loop {
-        let decoded = match decoder.next_message() {
-            Ok(Some(items)) => client::decode(items),
+        let message = match connection.next_message() {
+            Ok(Some(message)) => message,
             Ok(None) => {
-                if decoder.is_mid_message() && connection.input_state.get() == InputState::Idle {
-                    connection.set_input_state(InputState::MidMessage);
-                }
-                match next_bytes(connection, source, &mut decoder).await {
+                connection.note_partial_message();
+                clients.relieve_input_memory();
+                match next_bytes(connection, source).await {
                     Ok(()) => continue,
                     Err(end) => return end,
                 }
             }
-            Err(error) => Err(error),
-        };
-        let message = match decoded {
-            Ok(message) => message,
             Err(error) => {
                 clients.log_complaint(id, "client disconnected: malformed input", &error.to_string());
                 return ReadEnd::Close(error.to_string());
@@ -543,12 +592,12 @@
         FromClient::Download { tag, .. } if connection.open.borrow().len() >= limits.client_open => {
             return Some((tag, "too many open downloads"));
         }
-        FromClient::Download { tag, .. } if clients.is_full(connection) => {
-            let retry_after_ms = limits.full_retry_after.as_millis() as u64;
-            clients.queue(connection, client::encode_answer(tag, &ToClient::Throttled { retry_after_ms }));
-        }
-        FromClient::Download { tag, request } => {
+        FromClient::Discarded { tag } => clients.throttle(connection, tag),
+        FromClient::Download { tag, .. } if clients.is_full(connection) => clients.throttle(connection, tag),
+        FromClient::Download { tag, mut request } => {
             clients.add_download(connection, tag, request.body.len() + limits.download_bytes);
+            // Counted until the routing task drops the request, which may be after the answer.
+            request.body = clients.input_memory.reserve(limits.download_bytes).attach(request.body);
             clients.send_input(Input::Download { client: id, tag, request, at: clients.clock.now() });
         }
     }
@@ -558,11 +607,7 @@
 /// Waits for more bytes or for the moment when the connection may be closed. It reads before it waits, in the
 /// step that took the last messages: if a client sent requests and disconnected while the process did not
 /// run, the routing task gets both in one step, and requests that arrived before a close are taken.
-async fn next_bytes(
-    connection: &Connection,
-    source: &mut SocketReader<'_>,
-    decoder: &mut Decoder,
-) -> Result<(), ReadEnd> {
+async fn next_bytes(connection: &Connection, source: &mut SocketReader<'_>) -> Result<(), ReadEnd> {
     let disconnected = |why: String| Err(ReadEnd::Disconnected(why));
     if source.expects_more() {
         // A client that always has more to read must not starve the others.
@@ -570,13 +615,13 @@
     }
     loop {
         let (idle, ending_set) = (connection.idle.listen(), connection.ending_set.listen());
-        match source.try_read(decoder) {
+        match source.try_read(&mut connection.decoder.borrow_mut()) {
             Ok(None) => {}
             Ok(Some(0)) => return disconnected("closed by the client".into()),
             Ok(Some(_)) => return Ok(()),
             Err(why) => return disconnected(why.to_string()),
         }
-        if let Some(why) = connection.may_close(decoder.is_mid_message()) {
+        if let Some(why) = connection.may_close() {
             return Err(ReadEnd::Close(why.into()));
         }
         // Dropping this future loses no bytes, since it only waits.
--- a/crates/router/tests/memory.rs
+++ b/crates/router/tests/memory.rs
@@ -63,6 +63,13 @@
     assert!(peak <= max, "{peak} kB resident of {max}");
 }
 
+/// A client that sends a large request at once is served.
+fn assert_large_request_is_served(fixture: &Fixture) {
+    let mut client = fixture.client();
+    (&client.stream).write_all(&request(CROWD + 1, 1, "", &[b'x'; MAX_BODY_BYTES])).unwrap();
+    assert_eq!(client.next_message().expect("an answer")[1], "ACK");
+}
+
 #[test]
 fn half_read_requests_of_a_crowd_stay_within_the_memory_limit() {
     let fixture = open(2, good);
@@ -71,5 +78,33 @@
         request.truncate(request.len() - 1_000);
         request
     });
+    assert_large_request_is_served(&fixture);
+    assert_holds(&fixture);
+}
+
+#[test]
+fn half_read_messages_of_many_long_items_stay_within_the_memory_limit() {
+    let fixture = open(2, good);
+    let _crowd = crowd(&fixture, |_| {
+        let items = item(&[b'x'; MAX_BODY_BYTES]).repeat(7);
+        [b"*8\r\n", items.as_slice()].concat()
+    });
+    assert_large_request_is_served(&fixture);
     assert_holds(&fixture);
 }
+
+#[test]
+fn a_discarded_request_is_refused_once_it_is_whole() {
+    let fixture = open(2, good);
+    let mut slow = fixture.client();
+    let whole = request(CROWD + 2, 7, "", &[b'x'; MAX_BODY_BYTES]);
+    let (begin, rest) = whole.split_at(whole.len() - 1_000);
+    (&slow.stream).write_all(begin).unwrap();
+    let _crowd = crowd(&fixture, |client| request(client, 1, "", &[b'x'; MAX_BODY_BYTES])[..40_000].to_vec());
+    (&slow.stream).write_all(rest).unwrap();
+    let answer = slow.next_message().expect("an answer");
+    assert_eq!((&answer[0][..], &answer[1][..]), (&b"7"[..], &b"NAK"[..]));
+    assert!(fixture.received.lock().unwrap().iter().all(|(_, message)| message[0] != "serve"));
+    slow.send_download(8, "filing", 9, 2_000, "");
+    assert_eq!(slow.next_message().expect("an answer")[1], "ACK");
+}
--- a/crates/wire/src/client.rs
+++ b/crates/wire/src/client.rs
@@ -58,13 +58,20 @@
         tag: u64,
         reason: &'static str,
     },
+    /// A download of which the decoder has kept little more than the tag.
+    Discarded {
+        tag: u64,
+    },
 }
 
 impl FromClient {
     /// The tag under which this message expects an answer.
     pub fn answer_tag(&self) -> Option<u64> {
         match self {
-            Self::Download { tag, .. } | Self::Status { tag } | Self::Invalid { tag, .. } => Some(*tag),
+            Self::Download { tag, .. }
+            | Self::Status { tag }
+            | Self::Invalid { tag, .. }
+            | Self::Discarded { tag } => Some(*tag),
             Self::Cancel { .. } => None,
         }
     }
@@ -101,6 +108,17 @@
     })
 }
 
+/// Decodes a message whose long items the decoder has dropped.
+pub fn decode_discarded(items: Vec<Bytes>) -> Result<FromClient, DecodeError> {
+    let is_download = items.first().is_some_and(|word| word.as_ref() == b"ASK");
+    match decode(items)? {
+        FromClient::Download { tag, .. } | FromClient::Invalid { tag, .. } if is_download => {
+            Ok(FromClient::Discarded { tag })
+        }
+        other => Ok(other),
+    }
+}
+
 /// Validates each field strictly: a cache closes a connection on a field that it can't parse, which would
 /// fail the downloads of other clients on that connection.
 fn parse_download(items: &[Bytes]) -> Result<DownloadRequest, &'static str> {
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod client;
 pub mod feed;
 pub mod fields;
+pub mod memory;
 pub mod node;
 pub mod peer;
 pub mod resp;
