Policy: the memory of requests has a most number of entries

One client that asks for ever new objects and takes each request back made a router's memory grow without end: each object and part stays in the history for 1.6 times the parents' characteristic time, whatever their number (RequestHistory in src/state.rs), and each request in its list by age.

The history now has a most number of entries, given by the host: three 32nds of the memory of a router, at 400 bytes an entry; no limit in the simulator, whose decisions are as before. At the limit what was requested longest ago is forgotten, and outdated places in the list by age are dropped once it is twice as long. Loads of single objects are bounded by the same number; beyond it they count only for the total.

The tests of the decision module pass unchanged; the new one on the policy could not be compiled before, as there was no limit to set.

--- a/crates/measure/src/capacity/slopes.rs
+++ b/crates/measure/src/capacity/slopes.rs
@@ -558,6 +558,7 @@
         parent_warm_up_time: Span::millis(20_000),
         parent_overload_factor: 2.0,
         purge_settle_time: Span::millis(6_000),
+        max_history_entries: usize::MAX,
     }
 }
 
--- a/crates/profile/src/lib.rs
+++ b/crates/profile/src/lib.rs
@@ -174,6 +174,7 @@
         parent_warm_up_time: family.span_or("ParentRamp")?,
         parent_overload_factor: family.number_or("ParentBreaksAt", 1.0)?,
         purge_settle_time: family.span_or("PurgeSettles")?,
+        max_history_entries: usize::MAX,
     };
     Ok((profile, kinds))
 }
--- a/crates/router/src/program/limits.rs
+++ b/crates/router/src/program/limits.rs
@@ -12,6 +12,8 @@
 /// A longer deadline does not delay a shutdown further.
 const MAX_DEADLINE: Duration = Duration::from_secs(3);
 
+/// A remembered object and part: its entry, its place in the order by age, and the object's load.
+const HISTORY_ENTRY_BYTES: usize = 400;
 /// The limits of a router. The log line of the start prints them by these names.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Limits {
@@ -93,6 +95,9 @@
     /// How long a removed node is remembered: longer than any download lasts, and longer than the core relies
     /// on what a cache held.
     pub gone_kept: Span,
+    /// Objects and parts whose requests the core remembers. At the limit the one that was requested longest ago
+    /// is forgotten.
+    pub history_entries: usize,
     pub feed_silence: Duration,
     pub feed_pause: Duration,
     pub feed_line_bytes: usize,
@@ -171,6 +176,7 @@
             accept_pause: Duration::from_millis(20),
             watch_every: Duration::from_millis(500),
             drain_serve: Duration::from_millis(900).min(drain_abandon),
+            history_entries: memory / 32 * 3 / HISTORY_ENTRY_BYTES,
             drain_abandon,
             drain_end: drain_abandon + Duration::from_millis(250),
         }
--- a/crates/router/src/program/mod.rs
+++ b/crates/router/src/program/mod.rs
@@ -13,6 +13,7 @@
 use futures_lite::StreamExt;
 use futures_lite::future::or;
 use harestage_sockets::clock::Clock;
+use harestage::interface::ServiceProfile;
 use limits::Limits;
 use slog::{Logger, info, warn};
 use std::net::TcpListener;
@@ -99,6 +100,7 @@
     let purge_retention = profile.purge_settle_time;
     let config =
         RoutingConfig { profile, kinds, outside, answer_grace, cancel_settles, removed_node_retention };
+    let profile = ServiceProfile { max_history_entries: limits.history_entries, ..profile };
     let mut routing = Routing::new(config, seed, clock.now());
     let track_service_state = observer.is_some();
     observer.into_iter().for_each(|observer| routing.set_observer(observer));
--- a/crates/router/tests/memory.rs
+++ b/crates/router/tests/memory.rs
@@ -3,7 +3,7 @@
 mod fixture;
 use fixture::*;
 use harestage_wire::resp::LINE_END;
-use std::io::Write;
+use std::io::{BufRead, BufReader, Write};
 use std::net::TcpStream;
 use std::time::{Duration, Instant};
 
@@ -37,15 +37,19 @@
     [b"*5\r\n", &items.concat()[..]].concat()
 }
 
-/// Clients that connect, write what `bytes` gives for their number as far as the router takes it, and stay.
 fn crowd(fixture: &Fixture, bytes: impl Fn(u64) -> Vec<u8>) -> Vec<TcpStream> {
+    crowd_of(CROWD, fixture, bytes)
+}
+
+/// Clients that connect, write what `bytes` gives for their number as far as the router takes it, and stay.
+fn crowd_of(clients: u64, fixture: &Fixture, bytes: impl Fn(u64) -> Vec<u8>) -> Vec<TcpStream> {
     let connect = |client| {
         let stream = TcpStream::connect(&fixture.listen).unwrap();
         stream.set_write_timeout(Some(Duration::from_millis(200))).unwrap();
         let _ = (&stream).write_all(&bytes(client));
         stream
     };
-    (1..=CROWD).map(connect).collect()
+    (1..=clients).map(connect).collect()
 }
 
 /// While the crowd stays, others are answered in time and the memory stays within its limit.
@@ -95,12 +99,16 @@
 
 #[test]
 fn a_discarded_request_is_refused_once_it_is_whole() {
-    let fixture = open(2, good);
+    let mut fixture = open(2, good);
+    let mut log = BufReader::new(fixture.router.stderr.take().unwrap()).lines();
     let mut slow = fixture.client();
     let whole = request(CROWD + 2, 7, "", &[b'x'; MAX_BODY_BYTES]);
     let (begin, rest) = whole.split_at(whole.len() - 1_000);
     (&slow.stream).write_all(begin).unwrap();
-    let _crowd = crowd(&fixture, |client| request(client, 1, "", &[b'x'; MAX_BODY_BYTES])[..40_000].to_vec());
+    let _crowd =
+        crowd_of(200, &fixture, |client| request(client, 1, "", &[b'x'; MAX_BODY_BYTES])[..40_000].into());
+    // The first one to be discarded is the oldest.
+    assert!(log.any(|line| line.unwrap().contains("client message discarded")));
     (&slow.stream).write_all(rest).unwrap();
     let answer = slow.next_message().expect("an answer");
     assert_eq!((&answer[0][..], &answer[1][..]), (&b"7"[..], &b"NAK"[..]));
@@ -118,3 +126,15 @@
     let peak = fixture.peak_memory() >> 10;
     assert!(peak <= MAX_RESIDENT_BYTES >> 11, "{peak} kB resident");
 }
+
+/// As many as a client may ask for in some seconds, each taken back at once.
+#[test]
+fn ever_new_objects_of_one_client_stay_within_the_memory_limit() {
+    let fixture = open(2, good);
+    let mut client = TcpStream::connect(&fixture.listen).unwrap();
+    for tag in 1..=150_000 {
+        let cancel = [b"*2\r\n", &item(b"NEVERMIND")[..], &item(tag.to_string().as_bytes())].concat();
+        client.write_all(&[request(0, tag, "", b""), cancel].concat()).unwrap();
+    }
+    assert_holds(&fixture);
+}
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -50,6 +50,8 @@
     pub parent_overload_factor: f64,
     /// Time after which every cache has carried out a purge.
     pub purge_settle_time: Span,
+    /// Most objects and parts whose requests the router remembers at a time.
+    pub max_history_entries: usize,
 }
 
 impl ServiceProfile {
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -476,6 +476,7 @@
         };
         self.entries.insert(key, entry);
         self.by_age.push_back((now, key));
+        self.enforce_limit();
         entry
     }
 }
@@ -493,7 +494,9 @@
             (INITIAL_PARENT_TAU_PER_ROUTER * f64::from(profile.routers.max(1))).min(MAX_INITIAL_PARENT_TAU);
         // Loads and rates are those of the last four seconds.
         let total_load = SlidingWindow::new(Span::millis(1_000), 4);
-        let history = RequestHistory { edge_tau, parent_tau, total_load, ..RequestHistory::default() };
+        let max_entries = profile.max_history_entries;
+        let history =
+            RequestHistory { edge_tau, parent_tau, total_load, max_entries, ..RequestHistory::default() };
         let (members, reachable, max_caches, pulls_in_flight, downloads) = Default::default();
         let fill_rates = [(); 3].map(|()| SlidingWindow::new(Span::millis(500), 8));
         let (routers, origin_factor) =
--- a/src/state.rs
+++ b/src/state.rs
@@ -428,8 +428,11 @@
     pub(crate) object_load: HashMap<ObjectKey, SlidingWindow>,
     /// Recent seconds of sending of all objects.
     pub(crate) total_load: SlidingWindow,
-    /// All recorded requests, the oldest first.
+    /// All recorded requests, the oldest first. A request that was followed by another one of its object and
+    /// part is outdated.
     pub(crate) by_age: VecDeque<(Moment, (ObjectKey, u32))>,
+    /// Most entries, and most objects with a load of their own.
+    pub(crate) max_entries: usize,
     /// Characteristic time of the zone's caches: how long a copy stays that nobody asks for.
     pub(crate) edge_tau: Span,
     /// Characteristic time of the parents.
@@ -445,19 +448,38 @@
     }
 
     /// Adds seconds of sending. `empty` becomes the window of an object without recent load.
+    /// An object beyond `max_entries` counts only for the total.
     pub(crate) fn record_load(&mut self, object: ObjectKey, seconds: f64, empty: SlidingWindow, now: Moment) {
         self.total_load.add(now, seconds);
-        self.object_load.entry(object).or_insert(empty).add(now, seconds);
+        if self.object_load.len() < self.max_entries || self.object_load.contains_key(&object) {
+            self.object_load.entry(object).or_insert(empty).add(now, seconds);
+        }
     }
 
     /// Drops entries whose last request is longer ago than `expiry`.
     pub(crate) fn expire(&mut self, now: Moment, expiry: Span) {
         self.object_load.retain(|_, window| window.count(now) > 0.0);
-        while let Some((at, key)) = self.by_age.front().copied().filter(|(at, _)| now.since(*at) > expiry) {
-            self.by_age.pop_front();
-            if self.entries.get(&key).is_some_and(|entry| entry.last_request <= at) {
-                self.entries.remove(&key);
-            }
+        while self.by_age.front().is_some_and(|(at, _)| now.since(*at) > expiry) {
+            self.drop_oldest();
+        }
+    }
+
+    /// Keeps the tables within `max_entries`, whatever clients ask for: drops outdated requests, and then
+    /// entries whose last request is the longest ago.
+    pub(crate) fn enforce_limit(&mut self) {
+        if self.by_age.len() > self.max_entries.saturating_mul(2) {
+            let entries = &self.entries;
+            self.by_age.retain(|(at, key)| entries.get(key).is_some_and(|entry| entry.last_request == *at));
+        }
+        while self.entries.len() > self.max_entries && !self.by_age.is_empty() {
+            self.drop_oldest();
+        }
+    }
+
+    fn drop_oldest(&mut self) {
+        let Some((at, key)) = self.by_age.pop_front() else { return };
+        if self.entries.get(&key).is_some_and(|entry| entry.last_request <= at) {
+            self.entries.remove(&key);
         }
     }
 }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -52,6 +52,7 @@
         cold_share: 0.2, warm_up_time: Span::millis(10_000), overload_factor: 2.0, overload_window: Span::millis(1_000),
         parent_cold_share: 0.1, parent_warm_up_time: Span::millis(20_000), parent_overload_factor: 2.0,
         purge_settle_time: Span::millis(6_000),
+        max_history_entries: usize::MAX,
     };
     profile
 }
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -539,3 +539,19 @@
     let (alone, among_many) = (max_open_pulls(1), max_open_pulls(90));
     assert!(alone > 20 && among_many <= 12, "{alone} alone, {among_many} among ninety");
 }
+
+#[test]
+fn a_flood_of_new_objects_displaces_only_what_was_requested_longest_ago() {
+    // Guards against memory that grows with each new name.
+    let mut host = CheckedHost::new(ServiceProfile { max_history_entries: 50, ..profile() });
+    hits(&mut host, 0..10);
+    hits(&mut host, 100..140);
+    (0..200).for_each(|_| hits(&mut host, 9..10));
+    hits(&mut host, 200..210);
+    let rank = |host: &mut CheckedHost, object| {
+        let dl = host.request_page(object);
+        host.last_pull(dl).pull.rank
+    };
+    assert_eq!([rank(&mut host, 9), rank(&mut host, 139)], [2, 2], "requested lately");
+    assert_eq!(rank(&mut host, 0), 1, "forgotten, as 50 others were requested since");
+}
