Router: answers reserve their memory before they are read from nodes

An answer now reserves the memory of its body before it is read (transport/answer_memory.rs, three 32nds of the memory). Those that find none wait and are not read meanwhile, so that those that have begun can end; an answer that has taken 0.7 s while others wait is ended with its connection. What is read ahead of that, the ids that a connection remembers, and the bodies that wait for the routing task go by the memory too.

--- a/crates/router/src/program/limits.rs
+++ b/crates/router/src/program/limits.rs
@@ -7,13 +7,16 @@
 const MAX_BODY_BYTES: usize = 240_000;
 const MAX_REQUEST_BODY_BYTES: usize = 48_000;
 const MAX_OPEN_PER_CONNECTION: usize = 32;
+const MAX_READ_BUFFER_BYTES: usize = 16 << 10;
+/// An id in the list by age and in the set of one connection.
+const SPENT_ID_BYTES: usize = 56;
 /// File descriptors other than connections of clients and nodes.
 const OWN_FILE_DESCRIPTORS: usize = 16;
+/// A remembered object and part: its entry, its place in the order by age, and the object's load.
+const HISTORY_ENTRY_BYTES: usize = 400;
 /// A longer deadline does not delay a shutdown further.
 const MAX_DEADLINE: Duration = Duration::from_secs(3);
 
-/// A remembered object and part: its entry, its place in the order by age, and the object's load.
-const HISTORY_ENTRY_BYTES: usize = 400;
 /// The limits of a router. The log line of the start prints them by these names.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Limits {
@@ -71,7 +74,11 @@
     /// Log lines about clients between two sweeps.
     pub complaints: u64,
     pub sweep_every: Duration,
+    /// Interval of the log line on usage.
+    pub report_every: Duration,
     pub node_items: usize,
+    /// Bytes of the answers that are being read from nodes; further ones wait.
+    pub answer_bytes: usize,
     pub body_bytes: usize,
     /// Pulls on one connection at once.
     pub node_pulls: usize,
@@ -88,6 +95,9 @@
     pub node_spent_ids: usize,
     /// Idle time after which a connection is closed, before the node closes it.
     pub node_idle: Duration,
+    /// Objects and parts whose requests the core remembers. At the limit the one that was requested longest ago
+    /// is forgotten.
+    pub history_entries: usize,
     /// How long after its deadline a download waits for the core's answer before the router abandons it.
     pub answer_grace: Span,
     /// How long after a cancel was queued the next pull of the same download may follow.
@@ -95,9 +105,6 @@
     /// How long a removed node is remembered: longer than any download lasts, and longer than the core relies
     /// on what a cache held.
     pub gone_kept: Span,
-    /// Objects and parts whose requests the core remembers. At the limit the one that was requested longest ago
-    /// is forgotten.
-    pub history_entries: usize,
     pub feed_silence: Duration,
     pub feed_pause: Duration,
     pub feed_line_bytes: usize,
@@ -106,6 +113,8 @@
     /// Log lines waiting to be written; further lines are dropped and counted.
     pub log_lines: usize,
     pub read_buffer: usize,
+    /// Bytes that are read ahead of an answer's memory on each node connection.
+    pub node_read_buffer: usize,
     pub accept_pause: Duration,
     pub watch_every: Duration,
     /// Times after SIGTERM: when idle connections begin to be closed, when open downloads are abandoned, and
@@ -125,24 +134,25 @@
         // The process is killed at the longest deadline plus 0.7 s after the signal: a shorter deadline leaves
         // less time.
         let drain_abandon = Duration::from(outside.max_wait).min(MAX_DEADLINE) + Duration::from_millis(350);
+        let node_connections = (connections / 7 * 2).max(1);
         Limits {
             clients: (connections / 7 * 5).max(1),
-            node_connections: (connections / 7 * 2).max(1),
+            node_connections,
             downloads: outside.max_held_downloads.max(1),
             held_bytes: memory / 8,
             input_bytes: memory / 32 * 5,
             client_held_bytes: memory / 64,
-            download_bytes: 1_500,
+            download_bytes: 2_500,
             client_open: MAX_OPEN_PER_CONNECTION,
             client_items: 8,
             client_item_bytes: MAX_REQUEST_BODY_BYTES,
             client_item_room: 2 << 10,
-            node_item_room: 64 << 10,
+            node_item_room: 1 << 10,
             client_unsent_bytes: 4 * MAX_BODY_BYTES,
             client_unsent_answers: 8 * MAX_OPEN_PER_CONNECTION,
             full_retry_after: outside.max_retry_after.into(),
             packets_at_once: 32,
-            unsent_bytes: (memory / 4).max(2 * MAX_BODY_BYTES),
+            unsent_bytes: (memory / 32 * 5).max(2 * MAX_BODY_BYTES),
             client_stall: Duration::from_secs(6),
             client_first: Duration::from_secs(2),
             client_message: Duration::from_secs(2),
@@ -154,7 +164,9 @@
             client_unusable: 8,
             complaints: 5,
             sweep_every: Duration::from_millis(250),
+            report_every: Duration::from_secs(5),
             node_items: 8,
+            answer_bytes: memory / 32 * 3,
             body_bytes: MAX_BODY_BYTES,
             node_pulls: outside.pulls_per_connection,
             connect_within: outside.connect_timeout.into(),
@@ -162,21 +174,22 @@
             node_own_connections: (sockets / 32).max(1),
             node_silence: Duration::from_millis(250),
             node_halt: Duration::from_millis(700),
-            node_spent_ids: 256,
+            node_spent_ids: (memory / 32 / node_connections / SPENT_ID_BYTES).clamp(32, 256),
             node_idle: Duration::from(outside.idle_timeout).mul_f64(0.8),
+            history_entries: memory / 32 * 3 / HISTORY_ENTRY_BYTES,
             answer_grace: Span::millis(20),
             call_back_settles: Span::millis(10),
             gone_kept: Span::millis(90_000),
             feed_silence: Duration::from_millis(1_800),
             feed_pause: Duration::from_millis(200),
             feed_line_bytes: 1 << 20,
-            inbox: (memory / 8 / MAX_BODY_BYTES).clamp(4, 64),
+            inbox: (memory / 16 / MAX_BODY_BYTES).clamp(4, 64),
             log_lines: 1_024,
-            read_buffer: 16 << 10,
+            read_buffer: MAX_READ_BUFFER_BYTES,
+            node_read_buffer: (memory / 64 / node_connections).clamp(1 << 10, MAX_READ_BUFFER_BYTES),
             accept_pause: Duration::from_millis(20),
             watch_every: Duration::from_millis(500),
             drain_serve: Duration::from_millis(900).min(drain_abandon),
-            history_entries: memory / 32 * 3 / HISTORY_ENTRY_BYTES,
             drain_abandon,
             drain_end: drain_abandon + Duration::from_millis(250),
         }
--- a/crates/router/src/transport/mod.rs
+++ b/crates/router/src/transport/mod.rs
@@ -1,5 +1,6 @@
 //! Sockets of clients, nodes and the control feed. Inputs go to the routing task through its queues, and
 //! output waits in a queue per connection. No decisions are made here.
+pub mod answer_memory;
 pub mod client;
 pub mod feed;
 pub mod node;
--- a/crates/router/src/transport/node.rs
+++ b/crates/router/src/transport/node.rs
@@ -1,6 +1,7 @@
 //! Connections to caches, parents and the origin. Each carries only a few pulls at once, so that one
 //! corrupted answer affects few of them. Another connection is opened if the existing ones are busy, retired
 //! or stalled.
+use super::answer_memory::AnswerMemory;
 use super::{Executor, SocketReader, Stream, write_packets};
 use crate::program::limits::Limits;
 use crate::routing::nodes::{NodeEntry, NodeId};
@@ -89,6 +90,8 @@
     last_answer_at: Cell<Instant>,
     /// Since when the rest of a partial answer is awaited without another byte.
     partial_since: Cell<Option<Instant>>,
+    /// Since when the answer that is being read has its memory.
+    answer_since: Cell<Option<Instant>>,
     last_used_at: Cell<Instant>,
     wake: Event,
     check: Event,
@@ -159,6 +162,7 @@
     sockets: Cell<usize>,
     /// A slot was freed.
     freed: Event,
+    answer_memory: AnswerMemory,
     /// None in the platform's router.
     observer: OnceCell<Rc<dyn Observer>>,
 }
@@ -206,15 +210,42 @@
     connections: HashMap<NodeId, Vec<Rc<Connection>>>,
 }
 
+/// What the connections to nodes hold at the moment.
+pub struct NodeGauges(Rc<Shared>);
+
+impl NodeGauges {
+    /// Number of connections.
+    pub fn connections(&self) -> usize {
+        self.0.connections.get()
+    }
+
+    /// Memory of the answers that are being read.
+    pub fn answer_bytes(&self) -> usize {
+        self.0.answer_memory.reserved()
+    }
+}
+
 impl NodeConnections {
     /// No connections yet. Answers and lost pulls go to `inbox`.
     pub fn new(limits: Rc<Limits>, inbox: Sender<Input>, log: Logger, executor: Executor) -> NodeConnections {
-        let (connections, sockets, freed) = (Cell::new(0), Cell::new(0), Event::new());
-        let shared =
-            Rc::new(Shared { limits, inbox, log, connections, sockets, freed, observer: OnceCell::new() });
+        let shared = Rc::new(Shared {
+            answer_memory: AnswerMemory::new(limits.answer_bytes),
+            limits,
+            inbox,
+            log,
+            connections: Cell::new(0),
+            sockets: Cell::new(0),
+            freed: Event::new(),
+            observer: OnceCell::new(),
+        });
         NodeConnections { shared, executor, connections: HashMap::new() }
     }
 
+    /// The gauges of these connections.
+    pub fn gauges(&self) -> NodeGauges {
+        NodeGauges(self.shared.clone())
+    }
+
     /// Writes no pulls from now on while this observer forbids it.
     pub fn set_observer(&mut self, observer: Rc<dyn Observer>) {
         let _ = self.shared.observer.set(observer);
@@ -275,6 +306,7 @@
             ended: Cell::new(false),
             last_answer_at: Cell::new(now),
             partial_since: Cell::new(None),
+            answer_since: Cell::new(None),
             last_used_at: Cell::new(now),
             wake: Event::new(),
             check: Event::new(),
@@ -393,7 +425,7 @@
             let writer = executor.spawn(write(shared.clone(), connection.clone(), slotted.clone()));
             let why = or(
                 or(read(&shared, &connection, &slotted.stream, &name), writer),
-                watch(&shared, &connection),
+                watch(&shared, &connection, &name),
             )
             .await;
             debug!(shared.log, "node connection ended"; "node" => &name, "why" => &why);
@@ -426,11 +458,13 @@
     let (items, item_bytes) = (limits.node_items, limits.body_bytes);
     let bounds =
         Bounds { max_items: items, max_item_bytes: item_bytes, initial_item_capacity: limits.node_item_room };
-    let mut decoder = Decoder::new(bounds, limits.read_buffer);
+    let mut decoder = Decoder::new(bounds, limits.node_read_buffer);
     let mut source = SocketReader::new(stream);
+    let mut reservation = None;
     loop {
         match decoder.next_message() {
             Ok(Some(items)) => {
+                connection.answer_since.set(None);
                 let Some(answer) = node::decode_answer(&items) else {
                     warn!(shared.log, "node connection closed: malformed answer"; "node" => name);
                     return "malformed answer".into();
@@ -443,10 +477,18 @@
                     let unchanged_copy =
                         (answer.status == AnswerStatus::NotModified).then(|| node::decode_copy_tag(&items));
                     let copy_digest = unchanged_copy.flatten().map(|copy| copy.digest);
+                    // The queue may be full for a while.
+                    decoder.release_buffer();
                     let _ = shared.inbox.send(Input::Answered { pull, answer, copy_digest }).await;
                 }
+                reservation = None;
             }
             Ok(None) => {
+                if reservation.is_none() && decoder.missing_item_bytes() > 0 {
+                    reservation = Some(shared.answer_memory.reserve(decoder.missing_item_bytes()).await);
+                    connection.answer_since.set(Some(Instant::now()));
+                    decoder.allocate_item();
+                }
                 connection.partial_since.set(decoder.is_mid_message().then(Instant::now));
                 let read = source.read_into(&mut decoder).await;
                 connection.partial_since.set(None);
@@ -535,7 +577,7 @@
 /// Closes connections that are no longer needed: a retired one once its pulls are over, and an idle one
 /// before the node closes it just as a pull is being written. Also ends one whose answer stopped half way,
 /// since no other pull on it can get an answer.
-async fn watch(shared: &Shared, connection: &Connection) -> String {
+async fn watch(shared: &Shared, connection: &Connection, name: &str) -> String {
     let limits = &shared.limits;
     loop {
         let check = connection.check.listen();
@@ -547,6 +589,11 @@
         if connection.partial_since.get().is_some_and(|since| since.elapsed() > limits.node_halt) {
             return "incomplete answer".into();
         }
+        let is_slow = connection.answer_since.get().is_some_and(|since| since.elapsed() > limits.node_halt);
+        if is_slow && shared.answer_memory.has_waiters() {
+            info!(shared.log, "node connection closed: slow answer while others wait for memory"; "node" => name);
+            return "slow answer while others wait for memory".into();
+        }
         // The end of the connection tells the node what the cancel can't.
         if connection.is_stuck(limits.node_silence) && !connection.pending_cancels.borrow().is_empty() {
             return "a cancel can't be written".into();
--- a/crates/router/tests/memory.rs
+++ b/crates/router/tests/memory.rs
@@ -12,6 +12,7 @@
 const MAX_RESIDENT_BYTES: usize = (MEMORY_MB << 20) as usize * 9 / 10;
 const CROWD: u64 = 600;
 const MAX_BODY_BYTES: usize = 48_000;
+const MAX_ANSWER_BYTES: usize = 240_000;
 /// How long a crowd stays.
 const STAY: Duration = Duration::from_millis(1_500);
 /// Within this time others get their answers.
@@ -138,3 +139,27 @@
     }
     assert_holds(&fixture);
 }
+
+#[test]
+fn answers_that_stop_half_way_stay_within_the_memory_limit() {
+    let head = format!("*4\r\n$16\r\n{:016x}\r\n$3\r\nACK\r\n$1\r\n-\r\n${MAX_ANSWER_BYTES}\r\n", 0);
+    let half: &[u8] = [head.as_bytes(), &[b'x'; MAX_ANSWER_BYTES - 10]].concat().leak();
+    let fixture = open(8, move |_, _| Reply::Raw(half));
+    let _crowd = crowd(&fixture, |client| request(client, 1, "", b""));
+    assert_holds(&fixture);
+}
+
+#[test]
+fn large_answers_that_arrive_together_wait_for_each_other_and_all_arrive() {
+    let large = || vec![b'x'; MAX_ANSWER_BYTES];
+    let fixture = open(8, move |_, _| Reply::Answer("ACK", "res=HIT,first=0", large()));
+    let clients: Vec<Client> = (0..40).map(|_| fixture.client()).collect();
+    for (no, client) in (1..).zip(&clients) {
+        (&client.stream).write_all(&request(no, 1, "", b"")).unwrap();
+    }
+    for mut client in clients {
+        let answer = client.next_message().expect("an answer");
+        assert_eq!((&answer[1][..], answer[3].len()), (&b"ACK"[..], MAX_ANSWER_BYTES));
+    }
+    assert_holds(&fixture);
+}
--- a/crates/wire/src/resp.rs
+++ b/crates/wire/src/resp.rs
@@ -160,7 +160,7 @@
 
     /// Bytes that the message being read holds.
     pub fn held_bytes(&self) -> usize {
-        self.item.capacity() + self.items.iter().map(Bytes::len).sum::<usize>()
+        self.item.len() + self.items.iter().map(Bytes::len).sum::<usize>()
     }
 
     /// Bytes that the item being read still lacks memory for.
@@ -300,8 +300,10 @@
 
     fn grow_item(&mut self, wanted: usize) {
         let capacity = wanted.max(self.bounds.initial_item_capacity).max(1).min(self.item_length);
-        self.item.reserve_exact(capacity.saturating_sub(self.item.len()));
-        self.item.resize(capacity, 0);
+        if capacity > self.item.len() {
+            self.item.reserve_exact(capacity - self.item.len());
+            self.item.resize(capacity, 0);
+        }
     }
 
     /// Frees the read buffer but for the unread bytes: less than a length line once nothing more can be
@@ -318,7 +320,7 @@
 
     fn count_memory(&mut self) {
         let short_items = self.items.iter().map(Bytes::len).filter(|length| *length < MIN_COUNTED_ITEM);
-        let held = self.item.capacity() + self.buffer.capacity() + short_items.sum::<usize>();
+        let held = self.item.len() + self.buffer.capacity() + short_items.sum::<usize>();
         if held != self.reservation.bytes() {
             self.reservation.resize(held);
         }
