Router: an answer is dropped as soon as it is written to its client

A client's writer took up to 32 answers out of the queue and held all of them until the last one was written, though what was written counted no more: up to 7.7 MB for each client that reads slowly, seen by no limit. When such a client was cut off, its answers stayed until its task had run again. Heads and places in the queue were not counted at all.

Packets now wait in a SendQueue (crates/sockets) that stays with the connection: each is dropped once it is written, a cut drops all at once, and the memory beside a packet's bytes counts.

--- a/crates/router/src/program/mod.rs
+++ b/crates/router/src/program/mod.rs
@@ -12,8 +12,8 @@
 use config::Config;
 use futures_lite::StreamExt;
 use futures_lite::future::or;
-use harestage_sockets::clock::Clock;
 use harestage::interface::ServiceProfile;
+use harestage_sockets::clock::Clock;
 use limits::Limits;
 use slog::{Logger, info, warn};
 use std::net::TcpListener;
@@ -98,9 +98,9 @@
     let (answer_grace, cancel_settles) = (limits.answer_grace, limits.call_back_settles);
     let removed_node_retention = limits.gone_kept;
     let purge_retention = profile.purge_settle_time;
+    let profile = ServiceProfile { max_history_entries: limits.history_entries, ..profile };
     let config =
         RoutingConfig { profile, kinds, outside, answer_grace, cancel_settles, removed_node_retention };
-    let profile = ServiceProfile { max_history_entries: limits.history_entries, ..profile };
     let mut routing = Routing::new(config, seed, clock.now());
     let track_service_state = observer.is_some();
     observer.into_iter().for_each(|observer| routing.set_observer(observer));
--- a/crates/router/src/transport/client.rs
+++ b/crates/router/src/transport/client.rs
@@ -2,7 +2,7 @@
 //! is noticed at once, and a writer with its own queue. Downloads over a limit are throttled at once. A sweep
 //! over all connections ends the stalled ones and, at the connection limit, the one that is needed least.
 //! Wherever its client may still be writing, a connection is ended by a half-close (docs/crossings.md).
-use super::{SocketReader, Stream, write_packets};
+use super::{SocketReader, Stream};
 use crate::program::limits::Limits;
 use crate::routing::{ClientId, Input};
 use async_channel::Sender;
@@ -10,13 +10,14 @@
 use event_listener::Event;
 use futures_lite::future::{or, yield_now};
 use harestage_sockets::clock::Clock;
+use harestage_sockets::send_queue::{SendQueue, queued_bytes};
 use harestage_wire::Packet;
 use harestage_wire::client::{self, FromClient, ToClient};
 use harestage_wire::memory::MemoryCounter;
 use harestage_wire::resp::{Bounds, DecodeError, Decoder};
 use slog::{Logger, debug, info, warn};
 use std::cell::{Cell, RefCell};
-use std::collections::{HashMap, VecDeque};
+use std::collections::HashMap;
 use std::net::{Shutdown, TcpListener};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -54,7 +55,7 @@
 /// One client connection, as seen by other tasks than its own.
 struct Connection {
     decoder: RefCell<Decoder>,
-    queue: RefCell<VecDeque<Packet>>,
+    queue: RefCell<SendQueue>,
     /// Open downloads by tag, with the bytes that each holds.
     open: RefCell<HashMap<u64, usize>>,
     /// Bytes that the open downloads hold.
@@ -291,9 +292,10 @@
         if connection.unsent.get() == 0 {
             connection.last_write_at.set(Instant::now());
         }
-        connection.unsent.set(connection.unsent.get() + packet.len());
-        self.unsent.set(self.unsent.get() + packet.len());
-        connection.queue.borrow_mut().push_back(packet);
+        let bytes = queued_bytes(&packet);
+        connection.unsent.set(connection.unsent.get() + bytes);
+        self.unsent.set(self.unsent.get() + bytes);
+        connection.queue.borrow_mut().push(packet);
         connection.wake.notify(usize::MAX);
         if connection.queue.borrow().len() > self.limits.client_unsent_answers {
             self.cut(connection, "it sends requests without reading answers");
@@ -302,6 +304,16 @@
         }
     }
 
+    fn note_written(&self, connection: &Connection, freed: usize) {
+        connection.last_write_at.set(Instant::now());
+        if connection.input_state.get() == InputState::Idle {
+            connection.state_since.set(connection.last_write_at.get());
+        }
+        connection.unsent.set(connection.unsent.get() - freed);
+        self.unsent.set(self.unsent.get() - freed);
+        self.notify_if_idle(connection);
+    }
+
     /// The bytes are subtracted at once: otherwise the next answer would cut another client for the same
     /// bytes.
     fn cut(&self, connection: &Connection, why: &'static str) {
@@ -677,35 +689,27 @@
     std::future::pending().await
 }
 
-fn take_packets(queue: &mut VecDeque<Packet>, max: usize) -> Vec<Packet> {
-    let packets = max.min(queue.len());
-    queue.drain(..packets).collect()
-}
-
+/// Writes the queue for as long as it is polled; the queue stays with the connection, so that a cut frees it at
+/// once. Returns the error that ended it.
 async fn write(clients: Rc<Clients>, connection: Rc<Connection>, stream: Rc<Stream>) -> String {
     loop {
-        let packets = take_packets(&mut connection.queue.borrow_mut(), clients.limits.packets_at_once);
-        if packets.is_empty() {
-            let wake = connection.wake.listen();
-            if connection.queue.borrow().is_empty() {
-                wake.await;
-            }
+        if connection.queue.borrow().is_empty() {
+            connection.wake.listen().await;
             continue;
         }
-        let progress = |bytes| {
-            if connection.is_cut() {
-                return;
+        let written = connection.queue.borrow_mut().try_write(&stream, clients.limits.packets_at_once);
+        match written {
+            Ok(Some(freed)) => {
+                clients.note_written(&connection, freed);
+                // A client that reads as fast as this writes must not starve the others.
+                yield_now().await;
             }
-            connection.last_write_at.set(Instant::now());
-            if connection.input_state.get() == InputState::Idle {
-                connection.state_since.set(connection.last_write_at.get());
+            Ok(None) => {
+                if let Err(why) = stream.writable().await {
+                    return why.to_string();
+                }
             }
-            connection.unsent.set(connection.unsent.get() - bytes);
-            clients.unsent.set(clients.unsent.get() - bytes);
-            clients.notify_if_idle(&connection);
-        };
-        if let Err(why) = write_packets(&stream, &packets, progress).await {
-            return why.to_string();
+            Err(why) => return why.to_string(),
         }
     }
 }
--- a/crates/router/tests/memory.rs
+++ b/crates/router/tests/memory.rs
@@ -163,3 +163,19 @@
     }
     assert_holds(&fixture);
 }
+
+#[test]
+fn large_answers_that_a_crowd_does_not_read_stay_within_the_memory_limit() {
+    let large = || vec![b'x'; MAX_ANSWER_BYTES];
+    let fixture = open(8, move |_, _| Reply::Answer("ACK", "res=HIT,first=0", large()));
+    let _crowd = crowd(&fixture, |client| (1..=32).flat_map(|tag| request(client, tag, "", b"")).collect());
+    assert_holds(&fixture);
+}
+
+#[test]
+fn small_answers_that_a_crowd_does_not_read_stay_within_the_memory_limit() {
+    let fixture = open(2, good);
+    let status = [b"*3\r\n".to_vec(), item(b"STATUS"), item(b"1"), item(b"")].concat();
+    let _crowd = crowd_of(100, &fixture, |_| status.repeat(100_000));
+    assert_holds(&fixture);
+}
--- a/crates/sockets/src/lib.rs
+++ b/crates/sockets/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod clock;
 pub mod leader;
 pub mod lines;
+pub mod send_queue;
 
 use async_executor::{LocalExecutor, Task};
 use async_io::Async;
@@ -141,7 +142,7 @@
 }
 
 /// `None` if the call would have to wait.
-fn unless_would_block(result: io::Result<usize>) -> io::Result<Option<usize>> {
+pub(crate) fn unless_would_block(result: io::Result<usize>) -> io::Result<Option<usize>> {
     match result {
         Ok(bytes) => Ok(Some(bytes)),
         Err(why) if why.kind() == io::ErrorKind::WouldBlock => Ok(None),
