Router: log lines on what it holds, refuses and closes, and on how pulls end

It now writes every 5 s with traffic three lines: usage (connections, open downloads, bytes of requests, unsent answers and answers being read, resident memory), clients (accepted, passed on, throttled, discarded, invalid, malformed, cut off, left) and pulls (ordered, retried and by their ends).

--- a/crates/router/src/program/mod.rs
+++ b/crates/router/src/program/mod.rs
@@ -2,6 +2,7 @@
 pub mod config;
 pub mod limits;
 pub mod log;
+pub mod metrics;
 
 use crate::routing::observer::Observer;
 use crate::routing::{Input, Routing, RoutingConfig, task};
@@ -87,6 +88,7 @@
     let (client_sender, client_inputs) = async_channel::unbounded();
     let clients = client::Clients::new(limits.clone(), clock, client_sender, log.clone());
     let mut nodes = node::NodeConnections::new(limits.clone(), inbox.clone(), log.clone(), executor.clone());
+    let gauges = nodes.gauges();
     let contents = outside.contents.clone();
     let attached = attach.map(|attach| {
         attach(ObserverContext { name, contents, clock, inbox: inbox.clone(), log: log.clone() })
@@ -107,6 +109,7 @@
     routing.step(clock.now(), initial_events.into_iter().map(Input::Feed), &mut transport);
     let listener = Async::<TcpListener>::bind(listen)
         .map_err(|why| format!("key listen: {listen} can't be listened on: {why}"))?;
+    let sources = metrics::Sources { clients: clients.clone(), nodes: gauges, pulls: routing.pull_counts() };
     let routing = task::run(routing, client_inputs, inputs, transport, clock, limits.inbox);
     executor.spawn(routing).detach();
     let feed_address = feed::FeedAddress::new(feed);
@@ -126,6 +129,7 @@
     let listener = Rc::new(listener);
     let listening = executor.spawn(client::listen(clients.clone(), listener.clone(), executor.clone()));
     let sweeping = executor.spawn(client::sweep(clients.clone()));
+    let reporting = executor.spawn(metrics::report(sources, limits.report_every, log.clone()));
     clients.set_ready(true);
     info!(log, "ready"; "listen" => %listen, "known" => last_event, "limits" => ?limits);
     let background_end = async {
@@ -160,7 +164,7 @@
         drain(&clients, &limits, &log).await;
     };
     or(drained, ignore_further_signals).await;
-    drop(sweeping);
+    drop((sweeping, reporting));
     if let (Some(observer), Some(background), false) = (final_observer, background, ended_by_background) {
         observer.on_shutdown();
         or(background, async {
--- a/crates/router/src/routing/mod.rs
+++ b/crates/router/src/routing/mod.rs
@@ -1,12 +1,14 @@
 //! The only owner of the decision core. Outside events come in as [`Input`], and the core's orders go out
 //! through [`Transport`]. Timeouts, deadlines and open downloads are tracked here; decisions are left to the
 //! core.
+pub mod counts;
 pub mod nodes;
 pub mod observer;
 pub mod task;
 
 use async_channel::Sender;
 use bytes::Bytes;
+use counts::PullCounts;
 use harestage::interface::{Action, Event, IdRegistry, Pull, ServiceProfile};
 use harestage::policy::Policy;
 use harestage::state::*;
@@ -19,6 +21,7 @@
 use harestage_wire::{Packet, fields::HexId, node};
 use nodes::{NodeEntry, NodeId, NodeTable};
 use observer::{DownloadOutcome, Observer};
+use std::cell::RefCell;
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::rc::Rc;
 
@@ -177,6 +180,7 @@
     timers_set: u64,
     last_dl: DownloadId,
     last_pull: PullId,
+    pull_counts: Rc<RefCell<PullCounts>>,
     observer: Option<Rc<dyn Observer>>,
     /// To be confirmed at the end of the step.
     confirms: Vec<(u64, Sender<u64>)>,
@@ -209,6 +213,7 @@
             timers_set: 0,
             last_dl: 0,
             last_pull: 0,
+            pull_counts: Rc::default(),
             observer: None,
             confirms: Vec::new(),
             now,
@@ -220,6 +225,11 @@
         self.observer = Some(observer);
     }
 
+    /// How pulls have ended; whoever reports the counts takes them.
+    pub fn pull_counts(&self) -> Rc<RefCell<PullCounts>> {
+        self.pull_counts.clone()
+    }
+
     /// Number of downloads that are not answered yet.
     pub fn unanswered(&self) -> usize {
         self.open.len()
@@ -432,6 +442,7 @@
         now: Moment,
     ) {
         let Some(sent) = self.in_flight.remove(&pull) else { return };
+        self.pull_counts.borrow_mut().count_end(ending);
         let Some(held) = self.held.get(&sent.dl) else { return };
         let Some((dl, node)) = self.register.dl(sent.dl).zip(self.register.node(sent.node)) else { return };
         let (closed, took) = (held.answered, now.since(sent.sent_at));
@@ -621,6 +632,10 @@
         self.last_pull += 1;
         let (pull, number) = (self.last_pull, held.pulls.len() as u8);
         held.pulls.push(pull);
+        let mut counts = self.pull_counts.borrow_mut();
+        counts.ordered += 1;
+        counts.retried += u64::from(number > 0);
+        drop(counts);
         held.state_number =
             self.observer.as_ref().map(|observer| observer.state_number()).or(held.state_number);
         let until = match order.timeout {
--- a/crates/router/src/transport/client.rs
+++ b/crates/router/src/transport/client.rs
@@ -157,6 +157,27 @@
 
 const SHUTDOWN: Ending = Ending::CloseBetweenMessages("the router is shutting down");
 
+/// What happened at client connections since the last report.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ClientCounts {
+    /// Connections accepted.
+    pub accepted: u64,
+    /// Downloads passed on to the routing task.
+    pub downloads: u64,
+    /// Downloads refused because of a limit.
+    pub throttled: u64,
+    /// Requests discarded before they were whole.
+    pub discarded: u64,
+    /// Messages that could not be served.
+    pub invalid: u64,
+    /// Connections ended for malformed input.
+    pub malformed: u64,
+    /// Connections cut off.
+    pub cut: u64,
+    /// Downloads dropped as their clients had left.
+    pub left: u64,
+}
+
 /// All client connections.
 pub struct Clients {
     limits: Rc<Limits>,
@@ -169,6 +190,7 @@
     unsent: Cell<usize>,
     /// Memory of all requests, from their first byte until the routing task has dropped them.
     input_memory: MemoryCounter,
+    counts: Cell<ClientCounts>,
     /// Log lines about clients since the last sweep, including suppressed ones.
     complaints: Cell<u64>,
     last_id: Cell<ClientId>,
@@ -193,6 +215,7 @@
             held: Cell::new(0),
             unsent: Cell::new(0),
             input_memory: MemoryCounter::default(),
+            counts: Cell::default(),
             complaints: Cell::new(0),
             last_id: Cell::new(0),
             ready: Cell::new(false),
@@ -216,6 +239,32 @@
         self.open.get()
     }
 
+    /// Number of connections.
+    pub fn connection_count(&self) -> usize {
+        self.connections.borrow().len()
+    }
+
+    /// Memory of all requests that are held or arriving.
+    pub fn input_bytes(&self) -> usize {
+        self.input_memory.used()
+    }
+
+    /// Memory of all answers that are not written yet.
+    pub fn unsent_bytes(&self) -> usize {
+        self.unsent.get()
+    }
+
+    /// What has happened since the last call.
+    pub fn take_counts(&self) -> ClientCounts {
+        self.counts.take()
+    }
+
+    fn count(&self, change: impl FnOnce(&mut ClientCounts)) {
+        let mut counts = self.counts.get();
+        change(&mut counts);
+        self.counts.set(counts);
+    }
+
     /// From now on closes each connection as soon as nothing is open on it; a new one after a first read.
     pub fn close_all(&self) {
         self.is_shutting_down.set(true);
@@ -317,6 +366,7 @@
     /// The bytes are subtracted at once: otherwise the next answer would cut another client for the same
     /// bytes.
     fn cut(&self, connection: &Connection, why: &'static str) {
+        self.count(|counts| counts.cut += 1);
         connection.end(Ending::Cut(why));
         connection.queue.borrow_mut().clear();
         self.unsent.set(self.unsent.get() - connection.unsent.replace(0));
@@ -336,19 +386,26 @@
         }
     }
 
-    /// Admission control by the downloads and bytes held for this client and for all. A client that holds no
-    /// more than an equal share is admitted while the total is over its limit: a few that send much must not
-    /// shut out all others. None is admitted while the memory for requests is used up.
-    fn is_full(&self, connection: &Connection) -> bool {
+    /// Admission control by the downloads and bytes held for this client and for all: the reason to refuse a
+    /// download. A client that holds no more than an equal share is admitted while the total is over its limit:
+    /// a few that send much must not shut out all others. None is admitted while the memory for requests is
+    /// used up.
+    fn refusal(&self, connection: &Connection) -> Option<&'static str> {
         let limits = &self.limits;
         let share = limits.held_bytes / limits.clients;
         // What has come whole goes before what has not.
         self.relieve_input_memory();
-        self.open.get() >= limits.downloads
-            || self.held.get() >= limits.held_bytes && connection.held.get() > share
-            || connection.held.get() >= limits.client_held_bytes
-            || connection.unsent.get() >= limits.client_unsent_bytes
-            || self.input_memory.used() > limits.input_bytes
+        let reasons = [
+            (self.open.get() >= limits.downloads, "too many open downloads in all"),
+            (
+                self.held.get() >= limits.held_bytes && connection.held.get() > share,
+                "over its share of the held bytes",
+            ),
+            (connection.held.get() >= limits.client_held_bytes, "too many held bytes"),
+            (connection.unsent.get() >= limits.client_unsent_bytes, "too many unread answers"),
+            (self.input_memory.used() > limits.input_bytes, "the memory for requests is used up"),
+        ];
+        reasons.into_iter().find_map(|(applies, reason)| applies.then_some(reason))
     }
 
     /// Guards the memory limit against requests that arrive slowly or never whole: those that have been
@@ -364,6 +421,7 @@
                 return;
             };
             connection.decoder.borrow_mut().discard_message();
+            self.count(|counts| counts.discarded += 1);
             self.log_complaint(id, "client message discarded", "the memory for requests is used up");
         }
     }
@@ -371,6 +429,7 @@
     /// Refuses a download that was not passed on.
     fn throttle(&self, connection: &Connection, tag: u64) {
         let retry_after_ms = self.limits.full_retry_after.as_millis() as u64;
+        self.count(|counts| counts.throttled += 1);
         self.queue(connection, client::encode_answer(tag, &ToClient::Throttled { retry_after_ms }));
     }
 
@@ -398,6 +457,7 @@
             idle: Event::new(),
             ending_set: Event::new(),
         });
+        self.count(|counts| counts.accepted += 1);
         self.last_id.set(self.last_id.get() + 1);
         self.connections.borrow_mut().insert(self.last_id.get(), connection.clone());
         (self.last_id.get(), connection)
@@ -409,6 +469,7 @@
         self.open.set(self.open.get() - open);
         self.held.set(self.held.get() - connection.held.take());
         if open > 0 {
+            self.count(|counts| counts.left += open as u64);
             self.send_input(Input::Disconnected { client });
         }
     }
@@ -559,6 +620,7 @@
                 }
             }
             Err(error) => {
+                clients.count(|counts| counts.malformed += 1);
                 clients.log_complaint(id, "client disconnected: malformed input", &error.to_string());
                 return ReadEnd::Close(error.to_string());
             }
@@ -572,6 +634,7 @@
         }
         if let Some((tag, why)) = handle_message(clients, id, connection, message) {
             invalid_messages += 1;
+            clients.count(|counts| counts.invalid += 1);
             if invalid_messages > limits.client_unusable {
                 // This is a flood; its open downloads take resources from others, so that they are dropped.
                 return ReadEnd::Disconnected("too many invalid messages".into());
@@ -605,8 +668,13 @@
             return Some((tag, "too many open downloads"));
         }
         FromClient::Discarded { tag } => clients.throttle(connection, tag),
-        FromClient::Download { tag, .. } if clients.is_full(connection) => clients.throttle(connection, tag),
         FromClient::Download { tag, mut request } => {
+            if let Some(reason) = clients.refusal(connection) {
+                clients.log_complaint(id, "download throttled", reason);
+                clients.throttle(connection, tag);
+                return None;
+            }
+            clients.count(|counts| counts.downloads += 1);
             clients.add_download(connection, tag, request.body.len() + limits.download_bytes);
             // Counted until the routing task drops the request, which may be after the answer.
             request.body = clients.input_memory.reserve(limits.download_bytes).attach(request.body);
--- a/crates/router/tests/memory.rs
+++ b/crates/router/tests/memory.rs
@@ -179,3 +179,13 @@
     let _crowd = crowd_of(100, &fixture, |_| status.repeat(100_000));
     assert_holds(&fixture);
 }
+
+#[test]
+fn downloads_of_a_crowd_that_wait_for_a_silent_node_stay_within_the_memory_limit() {
+    let fixture = open(2, |_, _| Reply::Silence);
+    let body = [b'x'; MAX_BODY_BYTES];
+    let requests =
+        |client| (1..=32).flat_map(|tag| request(client, tag, "", &body[..100 * tag as usize])).collect();
+    let _crowd = crowd(&fixture, requests);
+    assert_holds(&fixture);
+}
