Router: hundreds of clients may connect at once

The listener's queue held the 128 connections that the standard library asks for.

The queue now has room for as many connections as the router may hold; listen is called again on the same socket, and a failure is logged and changes nothing.

--- a/crates/router/src/program/mod.rs
+++ b/crates/router/src/program/mod.rs
@@ -110,6 +110,9 @@
     let listener = Async::<TcpListener>::bind(listen)
         .map_err(|why| format!("key listen: {listen} can't be listened on: {why}"))?;
     let sources = metrics::Sources { clients: clients.clone(), nodes: gauges, pulls: routing.pull_counts() };
+    if let Err(why) = client::allow_pending(&listener, limits.clients) {
+        warn!(log, "listen queue not extended"; "why" => %why);
+    }
     let routing = task::run(routing, client_inputs, inputs, transport, clock, limits.inbox);
     executor.spawn(routing).detach();
     let feed_address = feed::FeedAddress::new(feed);
--- a/crates/router/src/transport/client.rs
+++ b/crates/router/src/transport/client.rs
@@ -549,6 +549,13 @@
     }
 }
 
+/// Lets so many connections wait until they are accepted. Past the standard library's 128 the kernel drops
+/// handshakes, and a client's next try comes after a second.
+pub fn allow_pending(listener: &Async<TcpListener>, connections: usize) -> std::io::Result<()> {
+    let connections = connections.try_into().unwrap_or(i32::MAX);
+    Ok(rustix::net::listen(listener.get_ref(), connections)?)
+}
+
 /// The connection is registered here and not by its task, which may run only after many more were accepted.
 fn spawn_connection(clients: &Rc<Clients>, stream: Stream, executor: &super::Executor) {
     let (id, connection) = clients.register();
