Router: an id that may have run does not run again after its client has left

The ids of held downloads are kept apart, but an id was free again as soon as its download was released: a client that left while its pull was under way and came again with the same id, on the same or another connection, had it run twice at the caches. For content types that must not run twice that is a repeated effect; the protocol has a new id for every request, also for a client's retry.

Routing now remembers the last 4,096 ids of downloads that were not retriable and of which a pull may have run; a further one under such an id is abandoned, as one under the id of an open download is. An id of which every pull provably never ran is free again, and reads are served as before. The set is the one that connections to nodes keep, in a module of its own now.

--- a/crates/router/src/routing/mod.rs
+++ b/crates/router/src/routing/mod.rs
@@ -4,6 +4,7 @@
 pub mod counts;
 pub mod nodes;
 pub mod observer;
+pub mod recent_ids;
 pub mod task;
 
 use async_channel::Sender;
@@ -21,6 +22,7 @@
 use harestage_wire::{Packet, fields::HexId, node};
 use nodes::{NodeEntry, NodeId, NodeTable};
 use observer::{DownloadOutcome, Observer};
+use recent_ids::RecentIds;
 use std::cell::RefCell;
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::rc::Rc;
@@ -33,6 +35,9 @@
 /// When the timer fires, and a number that makes the key unique.
 type TimerKey = (Moment, u64);
 
+/// Ids of finished downloads that are remembered.
+const MAX_IDS_WITH_EFFECT: usize = 4_096;
+
 /// Why a pull gets no answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Loss {
@@ -140,6 +145,8 @@
     leaves_at: Moment,
     deadline_timer: TimerKey,
     answered: bool,
+    /// A pull may have run, and another run of this content type would have an effect of its own.
+    has_lasting_effect: bool,
     /// All pulls of the download, indexed by the core's number of each pull.
     pulls: Vec<PullId>,
     /// The observer's state number when the last pull was sent, if there is an observer.
@@ -174,6 +181,10 @@
     open: HashMap<(ClientId, u64), DownloadId>,
     /// Ids of the held downloads, so that no two downloads with one id are in progress.
     ids: HashSet<HexId>,
+    /// By content type: a repeat of a download does no harm.
+    retriable: Vec<bool>,
+    /// Ids of downloads that must not run again under the same id.
+    ids_with_effect: RecentIds,
     in_flight: HashMap<PullId, InFlightPull>,
     timers: BTreeMap<TimerKey, Timer>,
     events: Vec<Event>,
@@ -194,6 +205,8 @@
         let RoutingConfig { profile, kinds, outside, answer_grace, cancel_settles, removed_node_retention } =
             config;
         let names = outside.contents.iter().enumerate();
+        let types = profile.content_types.iter();
+        let retriable = types.map(|content| content.idempotency == Idempotency::Retriable).collect();
         Routing {
             policy: Policy::new(profile, seed, now),
             register: IdRegistry::default(),
@@ -207,6 +220,8 @@
             held: HashMap::new(),
             open: HashMap::new(),
             ids: HashSet::new(),
+            retriable,
+            ids_with_effect: RecentIds::default(),
             in_flight: HashMap::new(),
             timers: BTreeMap::new(),
             events: Vec::new(),
@@ -322,8 +337,9 @@
             return transport.answer(client, tag, ToClient::Throttled { retry_after_ms });
         }
         // Guards against a client that uses the id of another open download: on one connection to a node the
-        // two answers would be indistinguishable, and a client could get the bytes of another object.
-        if !self.ids.insert(request.id) {
+        // two answers would be indistinguishable, and a client could get the bytes of another object. The id of
+        // a download that may have run and was given up must not run again either.
+        if self.ids_with_effect.contains(request.id) || !self.ids.insert(request.id) {
             return transport.answer(client, tag, ToClient::Abandoned);
         }
         self.last_dl += 1;
@@ -339,7 +355,7 @@
             is_retry: request.repeat,
         };
         let deadline_timer = self.set_timer(leaves_at, Timer::Deadline(dl));
-        let (answered, pulls, state_number) = (false, Vec::new(), None);
+        let (answered, has_lasting_effect, pulls, state_number) = (false, false, Vec::new(), None);
         let held = HeldDownload {
             client,
             tag,
@@ -348,6 +364,7 @@
             leaves_at,
             deadline_timer,
             answered,
+            has_lasting_effect,
             pulls,
             state_number,
         };
@@ -443,7 +460,8 @@
     ) {
         let Some(sent) = self.in_flight.remove(&pull) else { return };
         self.pull_counts.borrow_mut().count_end(ending);
-        let Some(held) = self.held.get(&sent.dl) else { return };
+        let Some(held) = self.held.get_mut(&sent.dl) else { return };
+        held.has_lasting_effect |= !ending.proves_not_run() && !self.retriable[held.content.0 as usize];
         let Some((dl, node)) = self.register.dl(sent.dl).zip(self.register.node(sent.node)) else { return };
         let (closed, took) = (held.answered, now.since(sent.sent_at));
         let number = sent.number;
@@ -618,6 +636,9 @@
             Action::Release { dl } => {
                 if let Some(held) = self.held.remove(&self.register.download_id(dl)) {
                     self.ids.remove(&held.request.id);
+                    if held.has_lasting_effect {
+                        self.ids_with_effect.add(held.request.id, MAX_IDS_WITH_EFFECT);
+                    }
                 }
                 self.register.release_download(dl);
             }
--- a/crates/router/src/transport/node.rs
+++ b/crates/router/src/transport/node.rs
@@ -6,6 +6,7 @@
 use crate::program::limits::Limits;
 use crate::routing::nodes::{NodeEntry, NodeId};
 use crate::routing::observer::Observer;
+use crate::routing::recent_ids::RecentIds;
 use crate::routing::{Input, Loss, PullId};
 use async_channel::Sender;
 use async_io::{Async, Timer};
@@ -15,7 +16,7 @@
 use harestage_wire::{Packet, fields::HexId, node, node::AnswerStatus};
 use slog::{Logger, debug, info, warn};
 use std::cell::{Cell, OnceCell, RefCell};
-use std::collections::{HashMap, HashSet, VecDeque};
+use std::collections::{HashMap, VecDeque};
 use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -50,27 +51,6 @@
     }
 }
 
-/// Ids that were answered or given up on a connection. A late answer for such an id must not be taken for the
-/// answer to a new pull of the same download. The oldest ids are forgotten at a limit.
-#[derive(Default)]
-struct SpentIds {
-    by_age: VecDeque<HexId>,
-    ids: HashSet<HexId>,
-}
-
-impl SpentIds {
-    fn add(&mut self, id: HexId, max: usize) {
-        if self.by_age.len() >= max
-            && let Some(oldest) = self.by_age.pop_front()
-        {
-            self.ids.remove(&oldest);
-        }
-        if self.ids.insert(id) {
-            self.by_age.push_back(id);
-        }
-    }
-}
-
 /// A connection to a node.
 struct Connection {
     queue: RefCell<VecDeque<Queued>>,
@@ -82,7 +62,9 @@
     write_started: Cell<Option<Instant>>,
     /// Pulls whose cancel is not written yet: the node may still be running them.
     pending_cancels: RefCell<Vec<PullId>>,
-    spent: RefCell<SpentIds>,
+    /// Ids that were answered or given up here. A late answer for such an id must not be taken for the answer
+    /// to a new pull of the same download.
+    spent: RefCell<RecentIds>,
     retired: Cell<bool>,
     ended: Cell<bool>,
     /// When the last complete answer arrived. Bytes alone prove nothing: an answer with a wrong length
@@ -109,7 +91,7 @@
         self.awaiting_answer.borrow().contains_key(&id)
             || self.writing.get().is_some_and(|(_, writing)| writing == id)
             || self.queue.borrow().iter().any(|q| q.pull().is_some_and(|(_, queued)| queued == id))
-            || self.spent.borrow().ids.contains(&id)
+            || self.spent.borrow().contains(id)
     }
 
     fn can_carry(&self, id: HexId, max: usize) -> bool {
