Router: finding the oldest half-read request costs no look at every connection

While the memory for requests was used up by whole requests, each further one that was refused looked at all connections for a half-read one to discard.

--- a/crates/router/src/transport/client.rs
+++ b/crates/router/src/transport/client.rs
@@ -17,7 +17,7 @@
 use harestage_wire::resp::{Bounds, DecodeError, Decoder};
 use slog::{Logger, debug, info, warn};
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::net::{Shutdown, TcpListener};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -66,8 +66,8 @@
     input_state: Cell<InputState>,
     /// When the state last changed.
     state_since: Cell<Instant>,
-    /// Since when part of a message has been waiting for the rest.
-    message_since: Cell<Option<Instant>>,
+    /// Since when a part of a message that is worth discarding has been waiting for the rest.
+    partial_since: Cell<Option<Instant>>,
     ending: Cell<Option<Ending>>,
     wake: Event,
     /// No download is open any more, or everything is written: tasks that want to close the connection check
@@ -87,21 +87,10 @@
     fn next_message(&self) -> Result<Option<FromClient>, DecodeError> {
         let mut decoder = self.decoder.borrow_mut();
         let Some(items) = decoder.next_message()? else { return Ok(None) };
-        self.message_since.set(None);
         let decode = if decoder.was_discarded() { client::decode_discarded } else { client::decode };
         decode(items).map(Some)
     }
 
-    /// Notes whether the client has sent a part of a message.
-    fn note_partial_message(&self) {
-        let is_mid_message = self.decoder.borrow().is_mid_message();
-        if is_mid_message && self.input_state.get() == InputState::Idle {
-            self.set_input_state(InputState::MidMessage);
-        }
-        let since = self.message_since.get().unwrap_or_else(Instant::now);
-        self.message_since.set(is_mid_message.then_some(since));
-    }
-
     fn has_nothing_open(&self) -> bool {
         self.unsent.get() == 0 && self.open.borrow().is_empty()
     }
@@ -190,6 +179,8 @@
     unsent: Cell<usize>,
     /// Memory of all requests, from their first byte until the routing task has dropped them.
     input_memory: MemoryCounter,
+    /// Connections with a part of a message that is worth discarding, by their `partial_since`.
+    partial: RefCell<BTreeMap<(Instant, ClientId), Rc<Connection>>>,
     counts: Cell<ClientCounts>,
     /// Log lines about clients since the last sweep, including suppressed ones.
     complaints: Cell<u64>,
@@ -215,6 +206,7 @@
             held: Cell::new(0),
             unsent: Cell::new(0),
             input_memory: MemoryCounter::default(),
+            partial: RefCell::default(),
             counts: Cell::default(),
             complaints: Cell::new(0),
             last_id: Cell::new(0),
@@ -408,18 +400,32 @@
         reasons.into_iter().find_map(|(applies, reason)| applies.then_some(reason))
     }
 
+    /// Notes that the client has sent a part of a message, if it has.
+    fn note_partial_message(&self, id: ClientId, connection: &Rc<Connection>) {
+        let decoder = connection.decoder.borrow();
+        if decoder.is_mid_message() && connection.input_state.get() == InputState::Idle {
+            connection.set_input_state(InputState::MidMessage);
+        }
+        if decoder.can_discard() && connection.partial_since.get().is_none() {
+            let since = Instant::now();
+            connection.partial_since.set(Some(since));
+            self.partial.borrow_mut().insert((since, id), connection.clone());
+        }
+    }
+
+    /// The message has come whole, or will not come.
+    fn forget_partial_message(&self, id: ClientId, connection: &Connection) {
+        if let Some(since) = connection.partial_since.take() {
+            self.partial.borrow_mut().remove(&(since, id));
+        }
+    }
+
     /// Guards the memory limit against requests that arrive slowly or never whole: those that have been
     /// arriving for longest are discarded. They are throttled once they are whole.
     fn relieve_input_memory(&self) {
         while self.input_memory.used() > self.limits.input_bytes {
-            let connections = self.connections.borrow();
-            let partial = connections.iter().filter_map(|(id, connection)| {
-                let holds_memory = connection.decoder.borrow().can_discard();
-                Some((connection.message_since.get().filter(|_| holds_memory)?, *id, connection))
-            });
-            let Some((_, id, connection)) = partial.min_by_key(|(since, id, _)| (*since, *id)) else {
-                return;
-            };
+            let Some(((_, id), connection)) = self.partial.borrow_mut().pop_first() else { return };
+            connection.partial_since.set(None);
             connection.decoder.borrow_mut().discard_message();
             self.count(|counts| counts.discarded += 1);
             self.log_complaint(id, "client message discarded", "the memory for requests is used up");
@@ -451,7 +457,7 @@
             last_write_at: Cell::new(now),
             input_state: Cell::new(InputState::New),
             state_since: Cell::new(now),
-            message_since: Cell::new(None),
+            partial_since: Cell::new(None),
             ending: Cell::new(self.is_shutting_down.get().then_some(SHUTDOWN)),
             wake: Event::new(),
             idle: Event::new(),
@@ -477,6 +483,7 @@
     /// Removes the connection once its file descriptor is closed.
     fn remove(&self, client: ClientId) {
         let Some(connection) = self.connections.borrow_mut().remove(&client) else { return };
+        self.forget_partial_message(client, &connection);
         self.unsent.set(self.unsent.get() - connection.unsent.get());
         self.removed.notify(usize::MAX);
     }
@@ -610,16 +617,19 @@
 async fn read(
     clients: &Clients,
     id: ClientId,
-    connection: &Connection,
+    connection: &Rc<Connection>,
     source: &mut SocketReader<'_>,
 ) -> ReadEnd {
     let limits = &clients.limits;
     let mut invalid_messages = 0;
     loop {
         let message = match connection.next_message() {
-            Ok(Some(message)) => message,
+            Ok(Some(message)) => {
+                clients.forget_partial_message(id, connection);
+                message
+            }
             Ok(None) => {
-                connection.note_partial_message();
+                clients.note_partial_message(id, connection);
                 clients.relieve_input_memory();
                 match next_bytes(connection, source).await {
                     Ok(()) => continue,
