Router: nothing is begun for a client whose close is behind unread requests

A reader passed requests on after each 16 kB, though the client's close was already there behind more of them: of 30 requests of 10 kB, written and closed while the router was stopped, 9 went out to caches (11 pulls where the two of others were due). And after a malformed message nothing more was read past 1 MB, so that a client's close went unnoticed until the deadline of what it had open: a cancel came 2.39 s late.

Downloads are now held back until everything that has arrived behind them is read, 50 ms at the most (transport/held_back.rs); what comes in one short read goes on in the same step as before. After 64 kB without a pause the receive window may have been full, and the rest, the close included, gets 5 ms to come. A close or reset that the kernel knows of already ends the connection at once. What is thrown away is read on at 1 MB each 40 ms, as the close comes behind it.

--- a/crates/router/src/transport/client.rs
+++ b/crates/router/src/transport/client.rs
@@ -2,6 +2,7 @@
 //! is noticed at once, and a writer with its own queue. Downloads over a limit are throttled at once. A sweep
 //! over all connections ends the stalled ones and, at the connection limit, the one that is needed least.
 //! Wherever its client may still be writing, a connection is ended by a half-close (docs/crossings.md).
+use super::held_back::{self, HeldBack};
 use super::{SocketReader, Stream};
 use crate::program::limits::Limits;
 use crate::routing::{ClientId, Input};
@@ -60,6 +61,8 @@
     open: RefCell<HashMap<u64, usize>>,
     /// Bytes that the open downloads hold.
     held: Cell<usize>,
+    /// Open downloads that are not passed on yet.
+    held_back: HeldBack,
     /// Bytes of answers that are not written yet.
     unsent: Cell<usize>,
     last_write_at: Cell<Instant>,
@@ -144,6 +147,9 @@
     }
 }
 
+/// Bounds the rate at which a client's bytes are discarded.
+const DISCARD_INTERVAL: Duration = Duration::from_millis(40);
+
 const SHUTDOWN: Ending = Ending::CloseBetweenMessages("the router is shutting down");
 
 /// What happened at client connections since the last report.
@@ -304,6 +310,15 @@
         self.open.set(self.open.get() + 1);
     }
 
+    /// Passes on what was held back and is still open.
+    fn pass_on(&self, client: ClientId, connection: &Connection) {
+        for held_back::Download { tag, request, at } in connection.held_back.take() {
+            if connection.open.borrow().contains_key(&tag) {
+                self.send_input(Input::Download { client, tag, request, at });
+            }
+        }
+    }
+
     fn remove_download(&self, connection: &Connection, tag: u64) -> bool {
         let Some(bytes) = connection.open.borrow_mut().remove(&tag) else { return false };
         connection.held.set(connection.held.get() - bytes);
@@ -453,6 +468,7 @@
             queue: RefCell::default(),
             open: RefCell::default(),
             held: Cell::new(0),
+            held_back: HeldBack::default(),
             unsent: Cell::new(0),
             last_write_at: Cell::new(now),
             input_state: Cell::new(InputState::New),
@@ -556,10 +572,13 @@
     }
 }
 
-/// Lets so many connections wait until they are accepted. Past the standard library's 128 the kernel drops
-/// handshakes, and a client's next try comes after a second.
+/// The standard library's length of the queue of connections that wait to be accepted.
+const MIN_PENDING_CONNECTIONS: usize = 128;
+
+/// Lets so many connections wait until they are accepted, or the usual number if it is larger. Past it the
+/// kernel drops handshakes, and a client's next try comes after a second.
 pub fn allow_pending(listener: &Async<TcpListener>, connections: usize) -> std::io::Result<()> {
-    let connections = connections.try_into().unwrap_or(i32::MAX);
+    let connections = connections.max(MIN_PENDING_CONNECTIONS).try_into().unwrap_or(i32::MAX);
     Ok(rustix::net::listen(listener.get_ref(), connections)?)
 }
 
@@ -631,7 +650,10 @@
             Ok(None) => {
                 clients.note_partial_message(id, connection);
                 clients.relieve_input_memory();
-                match next_bytes(connection, source).await {
+                if connection.held_back.is_overdue() {
+                    clients.pass_on(id, connection);
+                }
+                match next_bytes(clients, id, connection, source).await {
                     Ok(()) => continue,
                     Err(end) => return end,
                 }
@@ -639,6 +661,7 @@
             Err(error) => {
                 clients.count(|counts| counts.malformed += 1);
                 clients.log_complaint(id, "client disconnected: malformed input", &error.to_string());
+                clients.pass_on(id, connection);
                 return ReadEnd::Close(error.to_string());
             }
         };
@@ -647,6 +670,7 @@
         let tag = message.answer_tag();
         if tag.is_some_and(|tag| connection.open.borrow().contains_key(&tag)) {
             clients.log_complaint(id, "client disconnected: duplicate tag", "");
+            clients.pass_on(id, connection);
             return ReadEnd::Close("duplicate tag".into());
         }
         if let Some((tag, why)) = handle_message(clients, id, connection, message) {
@@ -678,6 +702,7 @@
         FromClient::Invalid { tag, reason: why } => return Some((tag, why)),
         FromClient::Cancel { tag } => {
             if clients.remove_download(connection, tag) {
+                connection.held_back.cancel(tag);
                 clients.send_input(Input::Cancel { client: id, tag });
             }
         }
@@ -695,7 +720,7 @@
             clients.add_download(connection, tag, request.body.len() + limits.download_bytes);
             // Counted until the routing task drops the request, which may be after the answer.
             request.body = clients.input_memory.reserve(limits.download_bytes).attach(request.body);
-            clients.send_input(Input::Download { client: id, tag, request, at: clients.clock.now() });
+            connection.held_back.add(held_back::Download { tag, request, at: clients.clock.now() });
         }
     }
     None
@@ -704,7 +729,12 @@
 /// Waits for more bytes or for the moment when the connection may be closed. It reads before it waits, in the
 /// step that took the last messages: if a client sent requests and disconnected while the process did not
 /// run, the routing task gets both in one step, and requests that arrived before a close are taken.
-async fn next_bytes(connection: &Connection, source: &mut SocketReader<'_>) -> Result<(), ReadEnd> {
+async fn next_bytes(
+    clients: &Clients,
+    id: ClientId,
+    connection: &Connection,
+    source: &mut SocketReader<'_>,
+) -> Result<(), ReadEnd> {
     let disconnected = |why: String| Err(ReadEnd::Disconnected(why));
     if source.expects_more() {
         // A client that always has more to read must not starve the others.
@@ -715,9 +745,19 @@
         match source.try_read(&mut connection.decoder.borrow_mut()) {
             Ok(None) => {}
             Ok(Some(0)) => return disconnected("closed by the client".into()),
-            Ok(Some(_)) => return Ok(()),
+            Ok(Some(_)) if source.expects_more() && source.peer_has_closed() => {
+                return disconnected("closed by the client before all was read".into());
+            }
+            Ok(Some(bytes)) => {
+                connection.held_back.note_read(bytes);
+                return Ok(());
+            }
             Err(why) => return disconnected(why.to_string()),
         }
+        let awaits_rest = connection.held_back.awaits_rest();
+        if !awaits_rest {
+            clients.pass_on(id, connection);
+        }
         if let Some(why) = connection.may_close() {
             return Err(ReadEnd::Close(why.into()));
         }
@@ -727,7 +767,15 @@
             or(idle, ending_set).await;
             None
         };
-        if let Some(why) = or(readable, may_be_closable).await {
+        let rest_is_late = async {
+            if !awaits_rest {
+                std::future::pending::<()>().await;
+            }
+            Timer::after(held_back::WINDOW_REFILL_TIME).await;
+            clients.pass_on(id, connection);
+            None
+        };
+        if let Some(why) = or(or(readable, may_be_closable), rest_is_late).await {
             return disconnected(why.to_string());
         }
     }
@@ -761,17 +809,20 @@
     or(discard(source, limits.client_discarded_bytes), late).await;
 }
 
-/// Returns once the client has closed; after too many bytes it never returns.
+/// Discards what the client sends, at most `max` bytes at an interval, and returns once it has closed. Its close
+/// comes behind all that it has sent.
 async fn discard(source: &mut SocketReader<'_>, max: usize) {
-    let mut left = max;
-    while left > 0 {
-        match source.discard().await {
-            Ok(bytes) if bytes > 0 => left = left.saturating_sub(bytes),
-            _ => return,
+    loop {
+        let mut left = max;
+        while left > 0 {
+            match source.discard().await {
+                Ok(bytes) if bytes > 0 => left = left.saturating_sub(bytes),
+                _ => return,
+            }
+            yield_now().await;
         }
-        yield_now().await;
+        Timer::after(DISCARD_INTERVAL).await;
     }
-    std::future::pending().await
 }
 
 /// Writes the queue for as long as it is polled; the queue stays with the connection, so that a cut frees it at
--- a/crates/sockets/src/lib.rs
+++ b/crates/sockets/src/lib.rs
@@ -11,6 +11,7 @@
 use futures_lite::AsyncWriteExt;
 use harestage_wire::Packet;
 use harestage_wire::resp::{Decoder, LINE_END};
+use rustix::event::{PollFd, PollFlags, Timespec};
 use std::cell::RefCell;
 use std::io::{self, IoSlice, Read};
 use std::net::TcpStream;
@@ -122,6 +123,16 @@
         Ok(read)
     }
 
+    /// Whether the peer has closed its side or the connection is broken, though bytes from before that may
+    /// still be unread.
+    pub fn peer_has_closed(&self) -> bool {
+        let mut state = [PollFd::new(self.stream.get_ref(), PollFlags::RDHUP)];
+        let without_waiting = Timespec::default();
+        let is_known = rustix::event::poll(&mut state, Some(&without_waiting)).is_ok();
+        let closed = PollFlags::RDHUP | PollFlags::HUP | PollFlags::ERR;
+        is_known && state[0].revents().intersects(closed)
+    }
+
     /// Whether the last read filled its buffer.
     pub fn expects_more(&self) -> bool {
         self.may_have_more
