Sockets: calls that are interrupted or lack memory for a moment end no connection

All reads and writes on sockets of routers and hubs go through one function now, which makes an interrupted call again and waits where the system lacks memory; the last accepts of a shutdown go on after up to ten failures.

--- a/crates/router/src/program/mod.rs
+++ b/crates/router/src/program/mod.rs
@@ -162,7 +162,7 @@
         // Until then new connections and downloads are accepted as before.
         Timer::after(limits.drain_serve).await;
         listening.cancel().await;
-        client::accept_pending(&clients, &listener, &executor);
+        client::accept_pending(&clients, &listener, &executor).await;
         drop(listener);
         drain(&clients, &limits, &log).await;
     };
--- a/crates/router/src/transport/client.rs
+++ b/crates/router/src/transport/client.rs
@@ -19,6 +19,7 @@
 use slog::{Logger, debug, info, warn};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashMap};
+use std::io::ErrorKind;
 use std::net::{Shutdown, TcpListener};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -150,6 +151,9 @@
 /// Bounds the rate at which a client's bytes are discarded.
 const DISCARD_INTERVAL: Duration = Duration::from_millis(40);
 
+/// After this many failures connections that wait to be accepted at shutdown are given up.
+const MAX_ACCEPT_FAILURES: u32 = 10;
+
 const SHUTDOWN: Ending = Ending::CloseBetweenMessages("the router is shutting down");
 
 /// What happened at client connections since the last report.
@@ -591,12 +595,25 @@
 
 /// Accepts connections that the kernel has completed but nobody has accepted yet. Closing the listener would
 /// reset them, and requests on them would be lost.
-pub fn accept_pending(clients: &Rc<Clients>, listener: &Async<TcpListener>, executor: &super::Executor) {
-    while clients.connections.borrow().len() < clients.limits.clients
-        && let Ok((stream, _)) = listener.get_ref().accept()
-        && let Ok(stream) = Async::new(stream)
-    {
-        spawn_connection(clients, stream, executor);
+pub async fn accept_pending(
+    clients: &Rc<Clients>,
+    listener: &Async<TcpListener>,
+    executor: &super::Executor,
+) {
+    let mut failures = 0;
+    while clients.connections.borrow().len() < clients.limits.clients && failures < MAX_ACCEPT_FAILURES {
+        match listener.get_ref().accept() {
+            Ok((stream, _)) => match Async::new(stream) {
+                Ok(stream) => spawn_connection(clients, stream, executor),
+                Err(why) => warn!(clients.log, "connection not served"; "why" => %why),
+            },
+            Err(why) if why.kind() == ErrorKind::WouldBlock => return,
+            // Of a connection that has ended already, or the system lacks descriptors at the moment.
+            Err(_) => {
+                failures += 1;
+                Timer::after(clients.limits.accept_pause).await;
+            }
+        }
     }
 }
 
--- a/crates/router/src/transport/feed.rs
+++ b/crates/router/src/transport/feed.rs
@@ -10,9 +10,10 @@
 use async_channel::{Receiver, Sender, bounded};
 use async_io::{Async, Timer};
 use event_listener::Event;
+use futures_lite::AsyncWriteExt;
 use futures_lite::future::or;
-use futures_lite::{AsyncReadExt, AsyncWriteExt};
 use harestage::time::Span;
+use harestage_sockets::read_some;
 use harestage_wire::feed::{self, Ack, AppliedPurges, FeedMessage, ServiceState};
 use slog::{Logger, info, warn};
 use std::cell::Cell;
@@ -176,7 +177,7 @@
     }
 }
 
-async fn read(feed: &mut FeedClient, mut stream: &Stream, acks: &AckChannel) -> String {
+async fn read(feed: &mut FeedClient, stream: &Stream, acks: &AckChannel) -> String {
     let mut first = true;
     let mut text = Vec::new();
     let mut piece = vec![0; feed.limits.read_buffer];
@@ -186,7 +187,8 @@
     loop {
         let left = feed.limits.feed_silence.saturating_sub(last_sign_of_life.elapsed());
         let got =
-            with_timeout(left, async { stream.read(&mut piece).await.map_err(|why| why.to_string()) }).await;
+            with_timeout(left, async { read_some(stream, &mut piece).await.map_err(|why| why.to_string()) })
+                .await;
         match got {
             Ok(0) => return "closed".into(),
             Ok(bytes) => text.extend_from_slice(&piece[..bytes]),
--- a/crates/router/src/transport/node.rs
+++ b/crates/router/src/transport/node.rs
@@ -12,6 +12,7 @@
 use async_io::{Async, Timer};
 use event_listener::Event;
 use futures_lite::future::or;
+use harestage_sockets::call_without_waiting;
 use harestage_wire::resp::{Bounds, Decoder};
 use harestage_wire::{Packet, fields::HexId, node, node::AnswerStatus};
 use slog::{Logger, debug, info, warn};
@@ -542,10 +543,7 @@
 /// Whether the node has closed an idle connection whose end was not read yet. A pull written there would be
 /// lost without proof that it never ran, and some pulls must not run twice.
 fn has_closed(stream: &Stream) -> bool {
-    match stream.get_ref().peek(&mut [0]) {
-        Ok(bytes) => bytes == 0,
-        Err(why) => why.kind() != std::io::ErrorKind::WouldBlock,
-    }
+    !matches!(call_without_waiting(|| stream.get_ref().peek(&mut [0])), Ok(None | Some(1..)))
 }
 
 /// Fails once the observer forbids sending: a pull that is not written whole never runs.
--- a/crates/sockets/src/lib.rs
+++ b/crates/sockets/src/lib.rs
@@ -8,12 +8,12 @@
 
 use async_executor::{LocalExecutor, Task};
 use async_io::Async;
-use futures_lite::AsyncWriteExt;
 use harestage_wire::Packet;
 use harestage_wire::resp::{Decoder, LINE_END};
 use rustix::event::{PollFd, PollFlags, Timespec};
+use rustix::io::Errno;
 use std::cell::RefCell;
-use std::io::{self, IoSlice, Read};
+use std::io::{self, IoSlice, Read, Write};
 use std::net::TcpStream;
 use std::rc::Rc;
 
@@ -102,14 +102,15 @@
     /// Discards what has arrived, without waiting. The buffer must not be part of a task: each connection
     /// would hold one.
     fn try_discard(&mut self) -> io::Result<Option<usize>> {
-        unless_would_block(self.stream.get_ref().read(&mut [0; DISCARD_BUFFER_BYTES]))
+        call_without_waiting(|| self.stream.get_ref().read(&mut [0; DISCARD_BUFFER_BYTES]))
     }
 
     /// Reads what has arrived, without waiting. `None` if there is nothing.
     pub fn try_read(&mut self, decoder: &mut Decoder) -> io::Result<Option<usize>> {
+        let mut stream = self.stream.get_ref();
         let buffer = decoder.read_buffer();
-        let (result, capacity) = (self.stream.get_ref().read(buffer), buffer.len());
-        let read = unless_would_block(result)?;
+        let capacity = buffer.len();
+        let read = call_without_waiting(|| stream.read(buffer))?;
         match read {
             Some(bytes) => {
                 self.may_have_more = bytes == capacity;
@@ -152,19 +153,36 @@
     }
 }
 
-/// `None` if the call would have to wait.
-pub(crate) fn unless_would_block(result: io::Result<usize>) -> io::Result<Option<usize>> {
-    match result {
-        Ok(bytes) => Ok(Some(bytes)),
-        Err(why) if why.kind() == io::ErrorKind::WouldBlock => Ok(None),
-        Err(why) => Err(why),
+/// Makes a call that does not wait. `None`: it would have to wait, or the system lacks memory at the moment. A
+/// call that a signal interrupts is made again.
+pub fn call_without_waiting<T>(mut call: impl FnMut() -> io::Result<T>) -> io::Result<Option<T>> {
+    loop {
+        let why = match call() {
+            Ok(done) => return Ok(Some(done)),
+            Err(why) => why,
+        };
+        match Errno::from_io_error(&why) {
+            Some(Errno::INTR) => {}
+            Some(Errno::WOULDBLOCK | Errno::NOBUFS | Errno::NOMEM) => return Ok(None),
+            _ => return Err(why),
+        }
+    }
+}
+
+/// Reads some bytes; 0 means that the peer has closed.
+pub async fn read_some(stream: &Stream, buffer: &mut [u8]) -> io::Result<usize> {
+    loop {
+        if let Some(bytes) = call_without_waiting(|| stream.get_ref().read(buffer))? {
+            return Ok(bytes);
+        }
+        stream.readable().await?;
     }
 }
 
 /// Writes packets whole, with as few system calls as possible; `progress` is called with the size of each
 /// piece that the socket accepts.
 pub async fn write_packets(
-    mut to: &Stream,
+    to: &Stream,
     packets: &[Packet],
     mut progress: impl FnMut(usize),
 ) -> io::Result<()> {
@@ -172,12 +190,14 @@
     let mut parts: Vec<IoSlice> = parts.map(IoSlice::new).collect();
     let mut rest = &mut parts[..];
     while !rest.is_empty() {
-        let wrote = to.write_vectored(rest).await?;
-        if wrote == 0 {
-            return Err(io::ErrorKind::WriteZero.into());
+        match call_without_waiting(|| to.get_ref().write_vectored(rest))? {
+            Some(0) => return Err(io::ErrorKind::WriteZero.into()),
+            Some(bytes) => {
+                IoSlice::advance_slices(&mut rest, bytes);
+                progress(bytes);
+            }
+            None => to.writable().await?,
         }
-        IoSlice::advance_slices(&mut rest, wrote);
-        progress(wrote);
     }
     Ok(())
 }
--- a/crates/sockets/src/send_queue.rs
+++ b/crates/sockets/src/send_queue.rs
@@ -1,5 +1,5 @@
 //! Packets that wait to be written to one socket. Each is dropped as soon as it is written.
-use crate::{Stream, unless_would_block};
+use crate::{Stream, call_without_waiting};
 use harestage_wire::Packet;
 use harestage_wire::resp::LINE_END;
 use std::collections::VecDeque;
@@ -50,7 +50,7 @@
         let mut slices: Vec<IoSlice> = parts.map(IoSlice::new).collect();
         let mut unwritten = &mut slices[..];
         IoSlice::advance_slices(&mut unwritten, self.written);
-        match unless_would_block(stream.get_ref().write_vectored(unwritten))? {
+        match call_without_waiting(|| stream.get_ref().write_vectored(unwritten))? {
             Some(0) => Err(io::ErrorKind::WriteZero.into()),
             Some(bytes) => Ok(Some(self.advance(bytes))),
             None => Ok(None),
