Router: a new process at an old address is not taken for the old one

A cache listed at the address of another one that the feed had not yet told to be gone left both in use: pulls for the old one went to the new one, which may not serve them and may be cold. And pulls that were queued for a process that came back under its name stayed queued on connections to the one before.

A node that is told to be at an address takes it from the node that had it, if it did not start earlier: that one counts as removed for the core and its connections, its queued pulls are placed again, and late news of it changes nothing while the younger one is there. Pulls queued for a process that was replaced are placed again too.

They are tests of decisions; a play on processes could not tell the two cases apart, as the stand-in at the address is the same, and was not kept. What nobody can see before the feed tells it stays: a connection that comes up to a new process at an old address, since caches don't say their names.

--- a/crates/router/src/routing/mod.rs
+++ b/crates/router/src/routing/mod.rs
@@ -483,16 +483,22 @@
         match event {
             FeedEvent::Members { is_snapshot, members } => {
                 let mut listings = Vec::with_capacity(members.len());
-                let (mut draining, mut removed) = (Vec::new(), Vec::new());
+                // Nodes to which queued pulls must not go, and those of them that are removed.
+                let (mut unusable, mut removed) = (Vec::new(), Vec::new());
                 for member in &members {
                     let update =
                         self.node_table.apply(member, &mut self.register, self.kinds, &self.outside, now);
                     if update.replaced {
                         transport.replace_connections(update.node);
+                        unusable.push(update.node);
+                    }
+                    if let Some((node, record)) = update.superseded {
+                        removed.push(node);
+                        listings.push(record);
                     }
                     match update.record.phase {
                         Phase::Ready => {}
-                        Phase::Draining => draining.push(update.node),
+                        Phase::Draining => unusable.push(update.node),
                         Phase::Removed => removed.push(update.node),
                     }
                     listings.push(update.record);
@@ -504,10 +510,10 @@
                     transport.replace_connections(*node);
                     self.set_timer(now + self.removed_node_retention, Timer::ForgetNode(*node));
                 }
-                draining.extend(removed);
+                unusable.extend(removed);
                 let news = if is_snapshot { MembershipUpdate::Snapshot } else { MembershipUpdate::Delta };
                 self.events.push(Event::Membership { update: news, records: listings });
-                let is_unusable = |node: &NodeId| draining.contains(node);
+                let is_unusable = |node: &NodeId| unusable.contains(node);
                 self.remove_queued(
                     |sent, _| is_unusable(&sent.node) || sent.source.iter().any(is_unusable),
                     now,
--- a/crates/router/src/routing/nodes.rs
+++ b/crates/router/src/routing/nodes.rs
@@ -21,6 +21,16 @@
     since_ms: u64,
     /// When the node was removed.
     removed_at: Moment,
+    /// What the core was told last.
+    record: Option<NodeRecord>,
+}
+
+impl NodeEntry {
+    fn remove(&mut self, now: Moment) {
+        if self.phase != Phase::Removed {
+            (self.phase, self.removed_at) = (Phase::Removed, now);
+        }
+    }
 }
 
 /// All nodes that the feed has named and that are still remembered.
@@ -28,6 +38,8 @@
 pub struct NodeTable {
     entries: BTreeMap<NodeId, NodeEntry>,
     by_name: HashMap<String, NodeId>,
+    /// The node that was told last to be at an address. A new process may have the address of one that has gone.
+    by_address: HashMap<SocketAddr, NodeId>,
     next_id: NodeId,
 }
 
@@ -37,6 +49,9 @@
     pub record: NodeRecord,
     /// The name now belongs to another process than before.
     pub replaced: bool,
+    /// The node whose address this one has taken, and its record: its process is gone, though the feed has not
+    /// said so yet.
+    pub superseded: Option<(NodeId, NodeRecord)>,
 }
 
 impl NodeTable {
@@ -54,26 +69,23 @@
         outside: &RouterSettings,
         now: Moment,
     ) -> NodeUpdate {
+        let address: Option<SocketAddr> = member.address.parse().ok();
         let phase = match member.state {
+            _ if self.is_superseded(member, address) => Phase::Removed,
             MemberState::Ready => Phase::Ready,
             MemberState::Draining => Phase::Draining,
             MemberState::Removed => Phase::Removed,
         };
-        let address: Option<SocketAddr> = member.address.parse().ok();
-        let node = *self.by_name.entry(member.name.clone()).or_insert_with(|| {
-            let (name, address, since_ms) = (member.name.clone(), address, member.since_ms);
-            self.entries.insert(self.next_id, NodeEntry { name, address, phase, since_ms, removed_at: now });
-            self.next_id += 1;
-            self.next_id - 1
-        });
+        let node = self.register(member, address, phase, now);
+        let superseded = address.filter(|_| phase != Phase::Removed).and_then(|at| self.claim(at, node, now));
         let entry = self.entries.get_mut(&node).expect("known by its name");
-        if phase == Phase::Removed && entry.phase != Phase::Removed {
-            entry.removed_at = now;
-        }
         let replaced = phase == Phase::Ready
             && (entry.phase == Phase::Removed
                 || entry.since_ms != member.since_ms
                 || address.is_some() && entry.address != address);
+        if phase == Phase::Removed {
+            entry.remove(now);
+        }
         entry.address = address.or(entry.address);
         (entry.phase, entry.since_ms) = (phase, member.since_ms);
         let kind = position_of(&outside.kinds, &member.kind).map(|k| k as u8);
@@ -92,7 +104,45 @@
             phase,
             started: (member.since_ms > 0).then(|| moment_from_unix_ms(member.since_ms)),
         };
-        NodeUpdate { node, record, replaced }
+        entry.record = Some(record);
+        NodeUpdate { node, record, replaced, superseded }
+    }
+
+    /// Whether a younger process has the address of this one.
+    fn is_superseded(&self, member: &Member, address: Option<SocketAddr>) -> bool {
+        let owner = address.and_then(|address| self.by_address.get(&address));
+        let owner = owner.and_then(|owner| self.entries.get(owner));
+        owner.is_some_and(|owner| {
+            owner.name != member.name && owner.phase != Phase::Removed && owner.since_ms > member.since_ms
+        })
+    }
+
+    /// The node's number; a new one if the name is new.
+    fn register(
+        &mut self,
+        member: &Member,
+        address: Option<SocketAddr>,
+        phase: Phase,
+        now: Moment,
+    ) -> NodeId {
+        *self.by_name.entry(member.name.clone()).or_insert_with(|| {
+            let (name, since_ms) = (member.name.clone(), member.since_ms);
+            let entry = NodeEntry { name, address, phase, since_ms, removed_at: now, record: None };
+            self.entries.insert(self.next_id, entry);
+            self.next_id += 1;
+            self.next_id - 1
+        })
+    }
+
+    /// Gives an address to a node and removes the one that had it.
+    fn claim(&mut self, address: SocketAddr, node: NodeId, now: Moment) -> Option<(NodeId, NodeRecord)> {
+        let previous = self.by_address.insert(address, node).filter(|previous| *previous != node)?;
+        let entry = self.entries.get_mut(&previous).filter(|entry| entry.phase != Phase::Removed)?;
+        if entry.address != Some(address) {
+            return None;
+        }
+        entry.remove(now);
+        entry.record.map(|record| (previous, NodeRecord { phase: Phase::Removed, ..record }))
     }
 
     /// Marks nodes that a complete list does not name as removed, and returns them.
@@ -101,9 +151,7 @@
         let mut missing = Vec::new();
         for (node, entry) in self.entries.iter_mut().filter(|(_, entry)| !named.contains(entry.name.as_str()))
         {
-            if entry.phase != Phase::Removed {
-                (entry.phase, entry.removed_at) = (Phase::Removed, now);
-            }
+            entry.remove(now);
             missing.push(*node);
         }
         missing
@@ -116,6 +164,8 @@
             |entry: &&NodeEntry| entry.phase == Phase::Removed && now.since(entry.removed_at) >= after;
         let Some(entry) = self.entries.get(&node).filter(is_expired) else { return false };
         self.by_name.remove(&entry.name);
+        let address = entry.address.filter(|address| self.by_address.get(address) == Some(&node));
+        address.and_then(|address| self.by_address.remove(&address));
         self.entries.remove(&node);
         register.release_node(node);
         true
--- a/crates/router/tests/routing.rs
+++ b/crates/router/tests/routing.rs
@@ -395,6 +395,48 @@
     assert_eq!(fixture.transport.renewed, [1, 1], "at the removal and at the return");
 }
 
+#[test]
+fn a_process_at_the_address_of_another_is_not_taken_for_it() {
+    let mut fixture = Fixture::open();
+    fixture.ask(1, "page", 2_000);
+    let (old, _, _) = fixture.transport.pulls[0].clone();
+    let at_address_of = |node: u32, name: &str, state, since| {
+        let member = Member { name: name.into(), ..member(node, state, since) };
+        Input::Feed(FeedEvent::Members { is_snapshot: false, members: vec![member] })
+    };
+    let old_name = format!("s-{old:08x}");
+    // The feed tells of the new process before the end of the old one.
+    fixture.transport.stuck = true;
+    fixture.handle(vec![at_address_of(old, "s-new", MemberState::Ready, 1_764_576_000_000)]);
+    assert_eq!(fixture.transport.renewed, [old]);
+    let placed: Vec<NodeId> = fixture.transport.pulls.iter().map(|pull| pull.0).collect();
+    assert!(placed.len() == 2 && placed[1] != old, "the queued pull goes elsewhere: {placed:?}");
+    // Late news of the old process changes nothing.
+    fixture.handle(vec![at_address_of(old, &old_name, MemberState::Ready, 0)]);
+    for tag in 2..20 {
+        fixture.ask(tag, "page", 2_000);
+    }
+    assert!(fixture.transport.pulls.iter().skip(1).all(|pull| pull.0 != old));
+    fixture.handle(vec![at_address_of(old, "s-new", MemberState::Removed, 1_764_576_000_000)]);
+    fixture.handle(vec![at_address_of(old, &old_name, MemberState::Ready, 0)]);
+    for tag in 20..60 {
+        fixture.ask(tag, "page", 2_000);
+    }
+    assert!(fixture.transport.pulls.iter().skip(1).any(|pull| pull.0 == old), "it is back");
+}
+
+#[test]
+fn pulls_queued_for_a_process_that_was_replaced_are_placed_again() {
+    let mut fixture = Fixture::open();
+    let first = fixture.ask(1, "write", 2_000);
+    fixture.transport.stuck = true;
+    let cache = fixture.transport.pulls[0].0;
+    let replaced = vec![member(cache, MemberState::Ready, 1_764_576_000_000)];
+    fixture.handle(vec![Input::Feed(FeedEvent::Members { is_snapshot: false, members: replaced })]);
+    let last = fixture.transport.pulls.last().unwrap();
+    assert!(last.1 != first && fixture.transport.pulls.len() == 2, "{last:?}");
+}
+
 /// Guards memory on days when caches are often replaced under new names. What was learnt about a removed
 /// cache must not be applied to the next one with its index.
 #[test]
