Router: one client's messages take shorter turns

A test has one client send at full speed for 0.8 s (questions, cancels, unknown words and content types, ever new objects, one object under ever new ids, and again as soon as it is cut off) while another one asks one download after the other.

Longer items are read into their own place as before.

--- a/crates/router/src/program/limits.rs
+++ b/crates/router/src/program/limits.rs
@@ -113,6 +113,8 @@
     /// Log lines waiting to be written; further lines are dropped and counted.
     pub log_lines: usize,
     pub read_buffer: usize,
+    /// Bytes of short items and lengths that are read from a client in one turn; others come between.
+    pub client_read_buffer: usize,
     /// Bytes that are read ahead of an answer's memory on each node connection.
     pub node_read_buffer: usize,
     pub accept_pause: Duration,
@@ -186,6 +188,7 @@
             inbox: (memory / 16 / MAX_BODY_BYTES).clamp(4, 64),
             log_lines: 1_024,
             read_buffer: MAX_READ_BUFFER_BYTES,
+            client_read_buffer: 4 << 10,
             node_read_buffer: (memory / 64 / node_connections).clamp(1 << 10, MAX_READ_BUFFER_BYTES),
             accept_pause: Duration::from_millis(20),
             watch_every: Duration::from_millis(500),
--- a/crates/router/src/transport/client.rs
+++ b/crates/router/src/transport/client.rs
@@ -466,7 +466,7 @@
             max_item_bytes: limits.client_item_bytes,
             initial_item_capacity: limits.client_item_room,
         };
-        let decoder = Decoder::with_counter(bounds, limits.read_buffer, self.input_memory.clone());
+        let decoder = Decoder::with_counter(bounds, limits.client_read_buffer, self.input_memory.clone());
         let connection = Rc::new(Connection {
             decoder: RefCell::new(decoder),
             queue: RefCell::default(),
--- a/crates/router/tests/crowds.rs
+++ b/crates/router/tests/crowds.rs
@@ -1,8 +1,9 @@
 //! Clients that come by hundreds or send much, before a router with usual memory.
 mod fixture;
 use fixture::{Client, Fixture, Reply};
+use harestage_wire::resp::{LINE_END, encode_head};
 use std::io::Write;
-use std::net::TcpStream;
+use std::net::{Shutdown, TcpStream};
 use std::time::{Duration, Instant};
 
 fn good(_: usize, _: &str) -> Reply {
@@ -71,3 +72,65 @@
         assert!(word == "GREEN" && late < Duration::from_millis(500), "{word:?} after {late:?}");
     }
 }
+
+fn message(items: &[&[u8]]) -> Vec<u8> {
+    let (last, first) = items.split_last().unwrap();
+    [&encode_head(first, last.len()), *last, LINE_END].concat()
+}
+
+/// What a client sends at full speed, by the number of the message.
+type Flood = (&'static str, fn(u64) -> Vec<u8>);
+
+const FLOODS: [Flood; 6] = [
+    ("questions", |_| message(&[b"STATUS", b"1", b""])),
+    ("cancels", |no| message(&[b"NEVERMIND", no.to_string().as_bytes()])),
+    ("unknown words", |no| message(&[format!("W{no}").as_bytes(), no.to_string().as_bytes()])),
+    ("unknown content types", |no| download(no, &format!("content-{no}"), no)),
+    ("new objects", |no| download(no, "clip", no)),
+    ("one object", |no| download(no, "filing", 1)),
+];
+
+fn download(no: u64, content: &str, object: u64) -> Vec<u8> {
+    let fields = format!("i={no:016x},d=1000,o={object:016x},chunk=0,tag=5");
+    message(&[b"ASK", no.to_string().as_bytes(), content.as_bytes(), fields.as_bytes(), b""])
+}
+
+/// Sends at full speed, reads all answers, and comes again when it is cut off.
+fn flood(listen: &str, until: Instant, bytes: fn(u64) -> Vec<u8>) {
+    let mut no = 1;
+    while Instant::now() < until {
+        let stream = TcpStream::connect(listen).unwrap();
+        let mut answers = stream.try_clone().unwrap();
+        let reader = std::thread::spawn(move || std::io::copy(&mut answers, &mut std::io::sink()));
+        while Instant::now() < until {
+            let batch: Vec<u8> = (no..no + 64).flat_map(bytes).collect();
+            no += 64;
+            if (&stream).write_all(&batch).is_err() {
+                break;
+            }
+        }
+        let _ = stream.shutdown(Shutdown::Both);
+        let _ = reader.join();
+    }
+}
+
+#[test]
+fn one_client_at_full_speed_delays_nobody_and_takes_bounded_memory() {
+    for (what, bytes) in FLOODS {
+        let fixture = Fixture::open_with_memory(2, None, 32, good);
+        let (listen, until) = (fixture.listen.clone(), Instant::now() + Duration::from_millis(800));
+        let flooding = std::thread::spawn(move || flood(&listen, until, bytes));
+        let (mut usual, mut tag) = (fixture.client(), 0);
+        while Instant::now() < until {
+            tag += 1;
+            let asked = Instant::now();
+            // The core may refuse it while the flood takes all that caches can do.
+            usual.send_download(tag, "clip", 1 << 40 | tag, 1_000, "");
+            usual.next_message().expect("an answer");
+            assert!(asked.elapsed() < Duration::from_millis(300), "{what}: {:?}", asked.elapsed());
+        }
+        flooding.join().unwrap();
+        assert!(tag > 50, "{what}: only {tag} answers");
+        assert!(fixture.peak_memory() < 32 << 20, "{what}: {} kB", fixture.peak_memory() >> 10);
+    }
+}
