--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -8,6 +8,7 @@
 mod liar;
 mod link;
 mod script;
+pub mod soak;
 mod talk;
 
 pub use archive::{Archive, ArchiveScript};
