--- a/crates/router/src/transport/mod.rs
+++ b/crates/router/src/transport/mod.rs
@@ -3,7 +3,6 @@
 pub mod answer_memory;
 pub mod client;
 pub mod feed;
-mod held_back;
 pub mod node;
 
 use crate::routing::nodes::{NodeEntry, NodeId};
