Hubs and services: the same mistakes in related code

A hub's writer held up to 32 answers until the last of them was written while they counted no more, and a hub that ended such a connection freed them late: it uses the SendQueue of the router now, and counts what a packet takes beside its bytes. Every line connection of the services kept a buffer of 16 kB while it waited; it reads into the stack. Hubs and services had the standard library's listen queue of 128 where hundreds of members may come back at once; they ask for as many places as they have connections.

Found by reading; shown for the router and for SendQueue, not by a play of their own on hubs and services.

--- a/crates/hub/src/net/down.rs
+++ b/crates/hub/src/net/down.rs
@@ -6,8 +6,10 @@
 use async_channel::Sender;
 use async_io::{Async, Timer};
 use event_listener::Event;
-use futures_lite::future::or;
-use harestage_sockets::{SocketReader, Spawner, Stream, write_packets};
+use futures_lite::future::{or, yield_now};
+use harestage_sockets::accept::extend_listen_queue;
+use harestage_sockets::send_queue::{SendQueue, queued_bytes};
+use harestage_sockets::{SocketReader, Spawner, Stream};
 use harestage_wire::Packet;
 use harestage_wire::fields::HexId;
 use harestage_wire::node::{self, OutgoingAnswer, ToNode};
@@ -15,7 +17,7 @@
 use harestage_wire::resp::{Bounds, Decoder};
 use slog::{Logger, info, warn};
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, HashSet, VecDeque};
+use std::collections::{BTreeMap, HashSet};
 use std::net::TcpListener;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -29,7 +31,7 @@
 const COMPLAINTS: u32 = 5;
 
 struct Line {
-    queue: RefCell<VecDeque<Packet>>,
+    queue: RefCell<SendQueue>,
     open: RefCell<HashSet<HexId>>,
     unsent: Cell<usize>,
     wrote: Cell<Instant>,
@@ -98,9 +100,10 @@
         if line.unsent.get() == 0 {
             line.wrote.set(Instant::now());
         }
-        line.unsent.set(line.unsent.get() + packet.len());
-        self.unsent.set(self.unsent.get() + packet.len());
-        line.queue.borrow_mut().push_back(packet);
+        let bytes = queued_bytes(&packet);
+        line.unsent.set(line.unsent.get() + bytes);
+        self.unsent.set(self.unsent.get() + bytes);
+        line.queue.borrow_mut().push(packet);
         line.wake.notify(usize::MAX);
         if self.unsent.get() > self.limits.all_unsent {
             self.end_fullest();
@@ -167,6 +170,9 @@
 }
 
 pub(crate) async fn listen(below: Rc<Below>, listener: Async<TcpListener>, spawner: Spawner) {
+    if let Err(why) = extend_listen_queue(&listener, below.limits.connections) {
+        warn!(below.log, "listen queue not extended"; "why" => %why);
+    }
     loop {
         while below.lines.borrow().len() >= below.limits.connections {
             let room = below.room.listen();
@@ -296,30 +302,29 @@
     }
 }
 
+/// Writes the queue; it stays with the connection, so that ending it frees the answers at once.
 async fn write(below: Rc<Below>, line: Rc<Line>, stream: Rc<Stream>) -> String {
     loop {
-        let packets: Vec<Packet> = {
-            let mut queue = line.queue.borrow_mut();
-            let many = queue.len().min(AT_ONCE);
-            queue.drain(..many).collect()
-        };
-        if packets.is_empty() {
-            let wake = line.wake.listen();
-            if line.queue.borrow().is_empty() {
-                wake.await;
-            }
+        if line.queue.borrow().is_empty() {
+            line.wake.listen().await;
             continue;
         }
-        let progress = |bytes: usize| {
-            line.wrote.set(Instant::now());
-            line.rests.set(line.wrote.get());
-            let bytes = bytes.min(line.unsent.get());
-            line.unsent.set(line.unsent.get() - bytes);
-            below.unsent.set(below.unsent.get() - bytes);
-            line.room.notify(usize::MAX);
-        };
-        if let Err(why) = write_packets(&stream, &packets, progress).await {
-            return why.to_string();
+        let written = line.queue.borrow_mut().try_write(&stream, AT_ONCE);
+        match written {
+            Ok(Some(freed)) => {
+                line.wrote.set(Instant::now());
+                line.rests.set(line.wrote.get());
+                line.unsent.set(line.unsent.get() - freed);
+                below.unsent.set(below.unsent.get() - freed);
+                line.room.notify(usize::MAX);
+                yield_now().await;
+            }
+            Ok(None) => {
+                if let Err(why) = stream.writable().await {
+                    return why.to_string();
+                }
+            }
+            Err(why) => return why.to_string(),
         }
     }
 }
--- a/crates/router/src/program/mod.rs
+++ b/crates/router/src/program/mod.rs
@@ -14,6 +14,7 @@
 use futures_lite::StreamExt;
 use futures_lite::future::or;
 use harestage::interface::ServiceProfile;
+use harestage_sockets::accept::extend_listen_queue;
 use harestage_sockets::clock::Clock;
 use limits::Limits;
 use slog::{Logger, info, warn};
@@ -110,7 +111,7 @@
     let listener = Async::<TcpListener>::bind(listen)
         .map_err(|why| format!("key listen: {listen} can't be listened on: {why}"))?;
     let sources = metrics::Sources { clients: clients.clone(), nodes: gauges, pulls: routing.pull_counts() };
-    if let Err(why) = client::allow_pending(&listener, limits.clients) {
+    if let Err(why) = extend_listen_queue(&listener, limits.clients) {
         warn!(log, "listen queue not extended"; "why" => %why);
     }
     let routing = task::run(routing, client_inputs, inputs, transport, clock, limits.inbox);
--- a/crates/router/src/transport/client/listener.rs
+++ b/crates/router/src/transport/client/listener.rs
@@ -75,16 +75,6 @@
     }
 }
 
-/// The standard library's length of the queue of connections that wait to be accepted.
-const MIN_PENDING_CONNECTIONS: usize = 128;
-
-/// Lets so many connections wait until they are accepted, or the usual number if it is larger. Past it the
-/// kernel drops handshakes, and a client's next try comes after a second.
-pub fn allow_pending(listener: &Async<TcpListener>, connections: usize) -> std::io::Result<()> {
-    let connections = connections.max(MIN_PENDING_CONNECTIONS).try_into().unwrap_or(i32::MAX);
-    Ok(rustix::net::listen(listener.get_ref(), connections)?)
-}
-
 /// The connection is registered here and not by its task, which may run only after many more were accepted.
 fn spawn_connection(clients: &Rc<Clients>, stream: Stream, executor: &Executor) {
     let (id, connection) = clients.register();
--- a/crates/router/src/transport/client/mod.rs
+++ b/crates/router/src/transport/client/mod.rs
@@ -9,7 +9,7 @@
 mod session;
 
 pub use counts::ClientCounts;
-pub use listener::{accept_pending, allow_pending, listen, sweep};
+pub use listener::{accept_pending, listen, sweep};
 
 use crate::program::limits::Limits;
 use crate::routing::{ClientId, Input};
--- a/crates/sockets/src/accept.rs
+++ b/crates/sockets/src/accept.rs
@@ -11,6 +11,16 @@
 /// Pause after a failed accept, which mostly means that the process has run out of file descriptors.
 const PAUSE: Duration = Duration::from_millis(50);
 
+/// The standard library's length of the queue of connections that wait to be accepted.
+const MIN_LISTEN_QUEUE: usize = 128;
+
+/// Lets `connections` wait until they are accepted, or the usual number if it is larger. Past it the kernel drops
+/// handshakes, and the peer's next try comes after a second.
+pub fn extend_listen_queue(listener: &Async<TcpListener>, connections: usize) -> io::Result<()> {
+    let length = connections.max(MIN_LISTEN_QUEUE).try_into().unwrap_or(i32::MAX);
+    Ok(rustix::net::listen(listener.get_ref(), length)?)
+}
+
 /// Limits the number of open connections over all listeners that share it.
 #[derive(Clone)]
 pub struct ConnectionLimit {
@@ -33,6 +43,9 @@
     serve: impl Fn(Stream) -> F,
     failed: impl Fn(io::Error),
 ) {
+    if let Err(why) = extend_listen_queue(&listener, limit.max_open) {
+        failed(why);
+    }
     loop {
         match listener.accept().await {
             Ok((stream, _)) if limit.open.get() < limit.max_open => {
--- a/crates/sockets/src/lines.rs
+++ b/crates/sockets/src/lines.rs
@@ -1,8 +1,9 @@
 //! Lines of text on sockets, with bounds on length and time.
-use crate::Stream;
+use crate::{Stream, call_without_waiting};
 use async_io::Timer;
+use futures_lite::AsyncWriteExt;
 use futures_lite::future::or;
-use futures_lite::{AsyncReadExt, AsyncWriteExt};
+use std::io::{self, Read};
 use std::time::Duration;
 
 /// Bytes per read.
@@ -25,7 +26,7 @@
     /// The next line without its end, or the error. An empty error text means that the peer closed between
     /// two lines.
     pub async fn next_line(&mut self) -> Result<Vec<u8>, String> {
-        let (mut piece, mut searched) = (vec![0; READ_BYTES], 0);
+        let mut searched = 0;
         loop {
             if let Some(at) = self.text[searched..].iter().position(|b| *b == b'\n') {
                 let mut line: Vec<u8> = self.text.drain(..=searched + at).collect();
@@ -36,7 +37,7 @@
             if searched > self.max_line_bytes {
                 return Err("a line past the bound".into());
             }
-            match (&mut &*self.stream).read(&mut piece).await {
+            match self.read_more().await {
                 Ok(0) => {
                     return Err(if searched == 0 {
                         String::new()
@@ -44,12 +45,30 @@
                         "closed in the middle of a line".into()
                     });
                 }
-                Ok(bytes) => self.text.extend_from_slice(&piece[..bytes]),
+                Ok(_) => {}
                 Err(why) => return Err(why.to_string()),
             }
         }
     }
 
+    /// Appends what comes next; 0: the peer has closed.
+    async fn read_more(&mut self) -> io::Result<usize> {
+        loop {
+            if let Some(bytes) = self.try_read()? {
+                return Ok(bytes);
+            }
+            self.stream.readable().await?;
+        }
+    }
+
+    /// The buffer must not be part of a task: each connection that waits would hold one.
+    fn try_read(&mut self) -> io::Result<Option<usize>> {
+        let mut piece = [0; READ_BYTES];
+        let read = call_without_waiting(|| self.stream.get_ref().read(&mut piece))?;
+        self.text.extend_from_slice(&piece[..read.unwrap_or(0)]);
+        Ok(read)
+    }
+
     /// The connection that it reads from.
     pub fn stream(&self) -> &'a Stream {
         self.stream
