Router: a client's close is read, not asked for

Since downloads are held back until all that has come is read, asking the kernel for the close of a connection with more to read tells nothing that is not read next, and costs a call for each full read and a way to be wrong where sockets are not the kernel's own. It is taken out.

--- a/crates/router/src/transport/client/session.rs
+++ b/crates/router/src/transport/client/session.rs
@@ -192,9 +192,6 @@
         match source.try_read(&mut connection.decoder.borrow_mut()) {
             Ok(None) => {}
             Ok(Some(0)) => return disconnected("closed by the client".into()),
-            Ok(Some(_)) if source.expects_more() && source.peer_has_closed() => {
-                return disconnected("closed by the client before all was read".into());
-            }
             Ok(Some(bytes)) => {
                 connection.held_back.note_read(bytes);
                 turn.bytes += bytes;
--- a/crates/sockets/src/lib.rs
+++ b/crates/sockets/src/lib.rs
@@ -10,7 +10,6 @@
 use async_io::Async;
 use harestage_wire::Packet;
 use harestage_wire::resp::{Decoder, LINE_END};
-use rustix::event::{PollFd, PollFlags, Timespec};
 use rustix::io::Errno;
 use std::cell::RefCell;
 use std::io::{self, IoSlice, Read, Write};
@@ -124,16 +123,6 @@
         Ok(read)
     }
 
-    /// Whether the peer has closed its side or the connection is broken, though bytes from before that may
-    /// still be unread.
-    pub fn peer_has_closed(&self) -> bool {
-        let mut state = [PollFd::new(self.stream.get_ref(), PollFlags::RDHUP)];
-        let without_waiting = Timespec::default();
-        let is_known = rustix::event::poll(&mut state, Some(&without_waiting)).is_ok();
-        let closed = PollFlags::RDHUP | PollFlags::HUP | PollFlags::ERR;
-        is_known && state[0].revents().intersects(closed)
-    }
-
     /// Whether the last read filled its buffer.
     pub fn expects_more(&self) -> bool {
         self.may_have_more
