Router: downloads that come after a shutdown has abandoned are refused

From the abandonment on further downloads are refused, which was never sent on and keeps the promise of a refusal. The test writes a download in the very moment of the abandonment, without a sleep between; it failed before (one stayed open).

--- a/crates/router/src/transport/client/mod.rs
+++ b/crates/router/src/transport/client/mod.rs
@@ -49,6 +49,8 @@
     ready: Cell<bool>,
     /// All connections are to be closed as soon as nothing is open on them.
     is_shutting_down: Cell<bool>,
+    /// Open downloads were abandoned at a shutdown, and further ones would not be answered before its end.
+    is_abandoning: Cell<bool>,
     /// A connection was removed.
     removed: Event,
 }
@@ -73,6 +75,7 @@
             last_id: Cell::new(0),
             ready: Cell::new(false),
             is_shutting_down: Cell::new(false),
+            is_abandoning: Cell::new(false),
             removed: Event::new(),
         })
     }
@@ -148,8 +151,9 @@
         }
     }
 
-    /// Abandons all open downloads.
+    /// Abandons all open downloads, and refuses further ones.
     pub fn abandon_all(&self) {
+        self.is_abandoning.set(true);
         let connections: Vec<_> =
             self.connections.borrow().iter().map(|(id, connection)| (*id, connection.clone())).collect();
         for (id, connection) in connections {
@@ -258,6 +262,7 @@
         // What has come whole goes before what has not.
         self.relieve_input_memory();
         let reasons = [
+            (self.is_abandoning.get(), "the router is about to end"),
             (self.open.get() >= limits.downloads, "too many open downloads in all"),
             (
                 self.held.get() >= limits.held_bytes && connection.held.get() > share,
--- a/crates/router/tests/transport.rs
+++ b/crates/router/tests/transport.rs
@@ -116,3 +116,35 @@
         assert!(inputs.is_empty());
     }));
 }
+
+/// A download that is in the socket when open ones are abandoned would outlast the process.
+#[test]
+fn downloads_that_come_when_a_shutdown_abandons_are_refused_and_not_lost() {
+    let executor = Rc::new(LocalExecutor::new());
+    let (sender, inputs): (Sender<Input>, Receiver<Input>) = unbounded();
+    let clients = client::Clients::new(limits(), Clock::start(), sender, log());
+    let listener = Rc::new(Async::<TcpListener>::bind(([127, 0, 0, 1], 0)).unwrap());
+    let address = listener.get_ref().local_addr().unwrap();
+    let download = |tag: u64| {
+        let fields = format!("i={tag:016x},d=9000,o={tag:016x},chunk=0,tag=5");
+        format!("*5\r\n$3\r\nASK\r\n$1\r\n{tag}\r\n$4\r\nclip\r\n${}\r\n{fields}\r\n$0\r\n\r\n", fields.len())
+    };
+    let mut client = TcpStream::connect(address).unwrap();
+    block_on(executor.run(async {
+        let _listens = executor.spawn(client::listen(clients.clone(), listener, executor.clone()));
+        client.write_all(download(1).as_bytes()).unwrap();
+        Timer::after(SHORT).await;
+        assert_eq!(clients.open_downloads(), 1);
+        clients.close_all();
+        client.write_all(download(2).as_bytes()).unwrap();
+        clients.abandon_all();
+        Timer::after(SHORT).await;
+        assert_eq!(clients.open_downloads(), 0, "nothing stays open");
+    }));
+    let mut answers = [0; 200];
+    let bytes = client.read(&mut answers).unwrap();
+    let answers = String::from_utf8_lossy(&answers[..bytes]);
+    assert!(answers.contains("FAIL") && answers.contains("NAK"), "{answers}");
+    let passed_on = std::iter::from_fn(|| inputs.try_recv().ok());
+    assert_eq!(passed_on.filter(|input| matches!(input, Input::Download { .. })).count(), 1);
+}
