--- /dev/null
+++ b/review/stand-ins-2/main.rs
@@ -0,0 +1,12 @@
+//! The driver of the second review's cases: `driver NAME CASE-FOLDER`, from the root of the repository.
+mod common;
+mod lease;
+
+fn main() {
+    let words: Vec<String> = std::env::args().collect();
+    let (case, folder) = (words[1].as_str(), words[2].as_str());
+    match case {
+        "lease" => lease::run(folder),
+        other => panic!("no case {other}"),
+    }
+}
