--- a/review/stand-ins-2/main.rs
+++ b/review/stand-ins-2/main.rs
@@ -1,5 +1,6 @@
 //! The driver of the second review's cases: `driver NAME CASE-FOLDER`, from the root of the repository.
 mod common;
+mod fresh;
 mod lease;
 
 fn main() {
@@ -7,6 +8,7 @@
     let (case, folder) = (words[1].as_str(), words[2].as_str());
     match case {
         "lease" => lease::run(folder),
+        "fresh" => fresh::run(folder),
         other => panic!("no case {other}"),
     }
 }
