--- a/review/stand-ins-2/main.rs
+++ b/review/stand-ins-2/main.rs
@@ -2,6 +2,7 @@
 mod common;
 mod fresh;
 mod lease;
+mod order;
 
 fn main() {
     let words: Vec<String> = std::env::args().collect();
@@ -9,6 +10,7 @@
     match case {
         "lease" => lease::run(folder),
         "fresh" => fresh::run(folder),
+        "order" => order::run(folder),
         other => panic!("no case {other}"),
     }
 }
