Second review, case 9: a hub that is alone gives out another hub's copy from before a purge

Cause: a fill of a hub that knows no purges goes its usual way to the next hub, where its page says that it is fetched anew; that hub may be fenced.

Change: review/9. Nothing is fixed.

--- a/review/stand-ins-2/main.rs
+++ b/review/stand-ins-2/main.rs
@@ -1,4 +1,5 @@
 //! The driver of the second review's cases: `driver NAME CASE-FOLDER`, from the root of the repository.
+mod alone;
 mod common;
 mod fresh;
 mod lease;
@@ -11,6 +12,7 @@
         "lease" => lease::run(folder),
         "fresh" => fresh::run(folder),
         "order" => order::run(folder),
+        "alone" => alone::run(folder),
         other => panic!("no case {other}"),
     }
 }
