Second review, case 10: a hub on a control feed gives out purged copies from its disk at a start

Cause: a hub that hears of purges by a control feed counts as one that nobody tells of purges, so that its start does not wait for them before it trusts its disk.

Nothing is fixed.

--- a/review/stand-ins-2/main.rs
+++ b/review/stand-ins-2/main.rs
@@ -1,6 +1,7 @@
 //! The driver of the second review's cases: `driver NAME CASE-FOLDER`, from the root of the repository.
 mod alone;
 mod common;
+mod feed;
 mod fresh;
 mod lease;
 mod order;
@@ -13,6 +14,7 @@
         "fresh" => fresh::run(folder),
         "order" => order::run(folder),
         "alone" => alone::run(folder),
+        "feed" => feed::run(folder),
         other => panic!("no case {other}"),
     }
 }
