Second review, case 10: a hub gives out copies older than asked after one large fetch

Cause: a hub takes the time between the date of a fetched copy and its last byte for the difference between its clock and the archive's, and takes it off the age of every copy.

Change: review/10 shows this now, in place of the hub on a control feed, which the report tells of; free ports of all cases are taken from below those of outgoing connections. Nothing is fixed.

--- a/review/stand-ins-2/common.rs
+++ b/review/stand-ins-2/common.rs
@@ -29,9 +29,16 @@
     std::thread::sleep(Duration::from_millis(ms));
 }
 
-/// A loopback address with a free port.
+/// A loopback address with a free port, below those that the system gives to outgoing connections.
 pub fn free() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+    static TRIED: AtomicU64 = AtomicU64::new(0);
+    loop {
+        let tried = TRIED.fetch_add(1, Ordering::SeqCst);
+        let port = 12_000 + (u64::from(std::process::id()) * 61 + tried) % 18_000;
+        if let Ok(listener) = TcpListener::bind(("127.0.0.1", port as u16)) {
+            return listener.local_addr().unwrap();
+        }
+    }
 }
 
 #[derive(Clone)]
@@ -269,6 +276,7 @@
         });
     match &answer {
         Some(Answer { word, fields, body }) => {
+            let body: String = body.chars().take(40).collect();
             record.say(&format!("pull {object} from {name}: {word} {fields} body={body:?}"));
         }
         None => record.say(&format!("pull {object} from {name}: no answer")),
@@ -305,7 +313,7 @@
 
 impl Archive {
     pub fn open(record: &Record) -> Archive {
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let listener = TcpListener::bind(free()).unwrap();
         let at = listener.local_addr().unwrap();
         let archive = Archive { at, version: Arc::new(AtomicU64::new(1)), fetches: Arc::default() };
         let (serving, record) = (archive.clone(), record.clone());
@@ -364,7 +372,7 @@
 
 impl Link {
     pub fn open(to: SocketAddr) -> Link {
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let listener = TcpListener::bind(free()).unwrap();
         let at = listener.local_addr().unwrap();
         let link = Link { at, cut: Arc::default(), cut_callers: Arc::default() };
         let carrying = link.clone();
--- a/review/stand-ins-2/main.rs
+++ b/review/stand-ins-2/main.rs
@@ -1,10 +1,10 @@
 //! The driver of the second review's cases: `driver NAME CASE-FOLDER`, from the root of the repository.
 mod alone;
 mod common;
-mod feed;
 mod fresh;
 mod lease;
 mod order;
+mod skew;
 
 fn main() {
     let words: Vec<String> = std::env::args().collect();
@@ -14,7 +14,7 @@
         "fresh" => fresh::run(folder),
         "order" => order::run(folder),
         "alone" => alone::run(folder),
-        "feed" => feed::run(folder),
+        "skew" => skew::run(folder),
         other => panic!("no case {other}"),
     }
 }
