--- a/review/stand-ins-2/order.rs
+++ b/review/stand-ins-2/order.rs
@@ -75,14 +75,19 @@
         }
         record.say(&format!("{} is cut off from the other members", led.name));
     }
-    // As `harestage site leave` asks.
-    let order = format!("{{\"site\":{{\"site\":\"{leaves}\",\"ask\":\"leave\",\"by\":\"anna\"}}}}");
-    let answer = call(led.serves, &order, Duration::from_secs(10)).unwrap_or_default();
-    record.say(&format!("{} answers the order {order}: {answer}", led.name));
-    if !answer.contains("site_begun") {
-        // Refused, sent elsewhere or left without an answer: nothing was accepted.
+    // Staff asks the member that speaks; the command goes on to the others where that one sends it elsewhere.
+    let mut words =
+        vec!["site".to_string(), "leave".into(), leaves.to_string(), "--by".into(), "anna".into()];
+    let others = members.iter().map(|(member, _)| member).filter(|member| member.name != led.name);
+    for member in std::iter::once(led).chain(others) {
+        words.extend(["--control".into(), member.serves.to_string()]);
+    }
+    let (code, said) = play.command(&words.iter().map(String::as_str).collect::<Vec<_>>());
+    if code != 0 {
+        // Refused, or left without an answer: nothing was accepted.
         play.end(HELD, "the order was not accepted by a member that can't carry it out");
     }
+    play.need(said.contains("is leaving now"), "the order is accepted in the words that staff knows");
     // The others choose one of them, and go on: what was accepted has to be among what they have agreed on.
     let mut stands = String::new();
     for _ in 0..20 {
