Review: three further plays for the report, feed, lent and lost

Change: three more plays of the driver, started as 'target/review-2/driver NAME FOLDER'. None of them is a case.

--- a/review/stand-ins-2/main.rs
+++ b/review/stand-ins-2/main.rs
@@ -1,8 +1,12 @@
-//! The driver of the second review's cases: `driver NAME CASE-FOLDER`, from the root of the repository.
+//! The driver of the second review's cases: `driver NAME FOLDER`, from the root of the repository. `feed`, `lent` and
+//! `lost` are no cases; review/REPORT-2.md says what they show.
 mod alone;
 mod common;
+mod feed;
 mod fresh;
 mod lease;
+mod lent;
+mod lost;
 mod order;
 mod skew;
 
@@ -15,6 +19,9 @@
         "order" => order::run(folder),
         "alone" => alone::run(folder),
         "skew" => skew::run(folder),
+        "feed" => feed::run(folder),
+        "lent" => lent::run(folder),
+        "lost" => lost::run(folder),
         other => panic!("no case {other}"),
     }
 }
