Second review: records tell what was started, cut and answered

Cause: case 9's record had the end of each round alone, without its cuts and the answers that the verdict rests on; no record had the words that programs were started with; an operator's command could outlast a driver that gave up, and a driver that panicked left its folder behind.

Change: the driver's records and clean-up alone; no check, bound or disruption is changed.

--- a/review/stand-ins-2/common.rs
+++ b/review/stand-ins-2/common.rs
@@ -126,15 +126,9 @@
         let mut command = Command::new(program);
         command.args(words).stdin(Stdio::null()).stdout(log.try_clone().unwrap()).stderr(log);
         command.envs(env.iter().copied());
-        // It ends with this process, however that ends.
-        unsafe {
-            command.pre_exec(|| {
-                prctl(1, 9, 0, 0, 0);
-                Ok(())
-            });
-        }
+        ends_with_this_process(&mut command);
         let child = command.spawn().unwrap_or_else(|why| self.end(NOT_RUN, &format!("{program}: {why}")));
-        self.record.say(&format!("starts {name}"));
+        self.record.say(&format!("starts {name}: {program} {}", words.join(" ")));
         self.pids.lock().unwrap().push(child.id() as i32);
         self.kids.lock().unwrap().push((name.into(), child));
     }
@@ -187,16 +181,35 @@
 
     /// Runs an operator's command to its end.
     pub fn command(&self, words: &[&str]) -> (i32, String) {
-        let output = Command::new("target/release/harestage").args(words).output();
+        let mut command = Command::new("target/release/harestage");
+        ends_with_this_process(command.args(words));
+        let output = command.output();
         let output = output.unwrap_or_else(|why| self.end(NOT_RUN, &why.to_string()));
         let text =
             String::from_utf8_lossy(&output.stdout).into_owned() + &String::from_utf8_lossy(&output.stderr);
-        let shown: Vec<&str> = words.iter().copied().take(8).collect();
-        self.record.say(&format!("{} -> {:?}: {}", shown.join(" "), output.status.code(), text.trim()));
+        self.record.say(&format!("{} -> {:?}: {}", words.join(" "), output.status.code(), text.trim()));
         (output.status.code().unwrap_or(-1), text)
     }
 }
 
+/// Reached only where the driver panics: `end` does not return.
+impl Drop for Play {
+    fn drop(&mut self) {
+        end_all(&self.pids);
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+/// The command's process is killed when this one ends, however that ends.
+fn ends_with_this_process(command: &mut Command) {
+    unsafe {
+        command.pre_exec(|| {
+            prctl(1, 9, 0, 0, 0);
+            Ok(())
+        });
+    }
+}
+
 fn end_all(pids: &Mutex<Vec<i32>>) {
     for pid in pids.lock().unwrap().iter() {
         unsafe {
--- a/review/stand-ins-2/lease.rs
+++ b/review/stand-ins-2/lease.rs
@@ -1,6 +1,7 @@
 //! Three members of the control service. The leader is cut off from the second one; then the third is started again, and
 //! reaches the second one only. Two members must never speak for the service at once.
 use crate::common::*;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
@@ -31,7 +32,8 @@
     rest.split(',').next()?.parse().ok()
 }
 
-fn cut(from: &Member, to: &Member) {
+fn cut(record: &Record, from: &Member, to: &Member) {
+    record.say(&format!("the link between {} and {} is cut", from.name, to.name));
     to.line.cut_callers.lock().unwrap().push(from.line.at.to_string());
     from.line.cut_callers.lock().unwrap().push(to.line.at.to_string());
 }
@@ -116,7 +118,8 @@
         // All follow it.
         pause(1_200);
         let (second, third) = ((leads + 1) % 3, (leads + 2) % 3);
-        let spoken: Spoken = Arc::default();
+        let (round_begun, spoken) = (Instant::now(), Spoken::default());
+        record.say(&format!("round {rounds} begins"));
         let over = Arc::new(AtomicBool::new(false));
         let asking: Vec<_> = [leads, second]
             .into_iter()
@@ -134,11 +137,11 @@
             })
             .collect();
         if play.trouble {
-            cut(&members[leads], &members[second]);
+            cut(&record, &members[leads], &members[second]);
         }
         pause(1_500);
         if play.trouble {
-            cut(&members[leads], &members[third]);
+            cut(&record, &members[leads], &members[third]);
         }
         play.crash(&members[third].name);
         members[third].start(&play);
@@ -147,6 +150,23 @@
         asking.into_iter().for_each(|thread| drop(thread.join()));
         let spoken = spoken.lock().unwrap();
         let (name, other) = (&members[leads].name, &members[second].name);
+        for who in [leads, second] {
+            record.say(&format!(
+                "round {rounds}: status asked of {} again and again, 2 ms between",
+                members[who].name
+            ));
+            let terms: BTreeSet<u64> =
+                spoken.iter().filter(|(_, _, by, _)| *by == who).map(|s| s.3).collect();
+            for term in terms {
+                let of_term = || spoken.iter().filter(|(_, _, by, of)| *by == who && *of == term);
+                let since = |at: &Instant| at.duration_since(round_begun).as_millis();
+                let (first, last) = (of_term().next().unwrap(), of_term().last().unwrap());
+                record.say(&format!(
+                    "round {rounds}: {} answered as the speaker of term {term} {} times: first asked {} and answered {} ms, last asked {} and answered {} ms after the round's begin",
+                    members[who].name, of_term().count(), since(&first.0), since(&first.1), since(&last.0), since(&last.1)
+                ));
+            }
+        }
         let first_of_second =
             spoken.iter().filter(|(_, _, who, _)| *who == second).min_by_key(|(_, had, ..)| *had);
         let last_of_leader =
@@ -168,6 +188,7 @@
         for member in &members {
             member.line.cut_callers.lock().unwrap().clear();
         }
+        record.say("no link is cut any more");
         pause(800);
     }
     match both.is_empty() {
